--- /dev/null
+++ b/broker/broker.go
@@ -0,0 +1,554 @@
+package broker
+
+import (
+	"container/heap"
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/decide"
+)
+
+// drainGuard is how long after its drain was told a node may still be sent
+// work by the core, whatever the module says. The module stops at once.
+const drainGuard = 250 * time.Millisecond
+
+// lateTimer is how late a timer must fire for the core to take itself as
+// having stood still; settleFor is how long it then lets the socket goroutines
+// read what came meanwhile, so that the module sees stored answers before it
+// judges parts that are merely unread.
+const (
+	lateTimer = 10 * time.Millisecond
+	settleFor = time.Millisecond
+)
+
+// Options make a Core.
+type Options struct {
+	Settings decide.Settings
+	Seed     uint64
+	Limits   Limits
+	Nodes    NodeClient
+	Lister   Lister // nil: the list comes on its own
+	Log      zerolog.Logger
+}
+
+// Stats are counts since the start.
+type Stats struct {
+	Queries, Served, Refused, Failed, Expired, Left, Attempts, Turns int64
+	Open                                                             int64
+}
+
+// Core owns the decision module, its timers and the tables of queries and
+// attempts. One goroutine, Run, touches them.
+type Core struct {
+	opts    Options
+	root    *decide.Root
+	queue   *queue
+	start   time.Time // with the monotonic reading that all times are taken from
+	startMs float64
+
+	names   map[string]decide.Addr // node ids, interned
+	nodes   map[decide.Addr]*node
+	queries map[QueryID]*query
+	byEvent map[uint64]*query // by the module's id
+	parts   map[uint64]*part
+	tries   map[AttemptID]*try
+	timers  timers
+	lastID  uint64
+	lastTry AttemptID
+	number  float64
+	held    int // queries and parts
+	events  []decide.Event
+	actions []decide.Action
+	batch   []Attempt
+	stats   struct {
+		queries, served, refused, failed, expired, left, attempts, turns, open atomic.Int64
+	}
+}
+
+type node struct {
+	Node
+	left time.Time // when it was told to be draining or gone
+}
+
+type query struct {
+	Query
+	id      QueryID
+	event   uint64 // the module's id of it
+	replier Replier
+	parts   []*part
+}
+
+type part struct {
+	id    uint64
+	q     *query
+	shard int
+	tries []*try
+	value []byte
+	in    bool
+}
+
+type try struct {
+	id   AttemptID
+	part *part
+	n    int
+	addr decide.Addr
+	node string
+	sent time.Time
+	off  bool // given up: its outcome is on its way to the module
+}
+
+// New returns a core that Run starts.
+func New(o Options) *Core {
+	if o.Limits.QueueLimit <= 0 {
+		o.Limits.QueueLimit = 4096
+	}
+	now := time.Now()
+	return &Core{
+		opts: o, root: decide.New(o.Settings, o.Seed), queue: newQueue(o.Limits.QueueLimit),
+		start: now, startMs: float64(now.UnixMicro()) / 1000,
+		names: map[string]decide.Addr{}, nodes: map[decide.Addr]*node{},
+		queries: map[QueryID]*query{}, byEvent: map[uint64]*query{}, parts: map[uint64]*part{}, tries: map[AttemptID]*try{},
+	}
+}
+
+// Submit hands a query to the core. If it returns false, the core has not
+// taken the query, and the front refuses it; otherwise r gets one Reply.
+func (c *Core) Submit(q *Query, r Replier) (QueryID, bool) {
+	return c.queue.offer(input{kind: inQuery, query: q, replier: r})
+}
+
+// Leave says that the client of a query has gone. No Reply follows unless one
+// is on its way.
+func (c *Core) Leave(id QueryID) { c.queue.put(input{kind: inLeave, id: id}) }
+
+// Outcome implements Sink.
+func (c *Core) Outcome(id AttemptID, o decide.Outcome, value []byte) {
+	c.queue.put(input{kind: inOutcome, attempt: id, outcome: o, value: value})
+}
+
+// Probed implements Sink.
+func (c *Core) Probed(node string, o decide.Outcome, took time.Duration) {
+	c.queue.put(input{kind: inProbed, node: node, outcome: o, took: took})
+}
+
+// Roster hands news of the list to the core.
+func (c *Core) Roster(r Roster) { c.queue.put(input{kind: inRoster, roster: r}) }
+
+// SetLimits changes the limits at the next turn's boundary.
+func (c *Core) SetLimits(l Limits) { c.queue.put(input{kind: inLimits, limits: l}) }
+
+// Stats returns the counts; any goroutine may call it.
+func (c *Core) Stats() Stats {
+	s := &c.stats
+	return Stats{
+		Queries: s.queries.Load(), Served: s.served.Load(), Refused: s.refused.Load(), Failed: s.failed.Load(),
+		Expired: s.expired.Load(), Left: s.left.Load(), Attempts: s.attempts.Load(), Turns: s.turns.Load(),
+		Open: s.open.Load(),
+	}
+}
+
+// Run is the loop: it gathers what is ready, hands it to the module in one
+// Step and carries out what came back, until ctx ends. Then every query still
+// open gets a final answer.
+func (c *Core) Run(ctx context.Context) {
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		if len(c.timers) > 0 {
+			wake.Reset(time.Until(c.timers[0].at))
+		} else {
+			wake.Reset(time.Hour)
+		}
+		select {
+		case <-ctx.Done():
+			c.abandon()
+			return
+		case <-c.queue.ready:
+		case <-wake.C:
+		}
+		if len(c.timers) > 0 && time.Since(c.timers[0].at) > lateTimer {
+			time.Sleep(settleFor)
+		}
+		c.turn()
+	}
+}
+
+func (c *Core) turn() {
+	now := time.Now()
+	c.events = c.events[:0]
+	for _, in := range c.queue.take() {
+		c.gather(in, now)
+	}
+	for len(c.timers) > 0 && !c.timers[0].at.After(now) {
+		t := heap.Pop(&c.timers).(timer)
+		if t.try == 0 {
+			c.events = append(c.events, decide.Event{Kind: decide.TimerFired, Token: t.token})
+		} else if a := c.tries[t.try]; a != nil {
+			c.opts.Nodes.Cancel(a.node, a.id)
+			c.ended(a, decide.TimedOut, now)
+		}
+	}
+	if len(c.events) == 0 {
+		return
+	}
+	c.stats.turns.Add(1)
+	c.actions = c.root.Step(c.ms(now), c.events, c.actions[:0])
+	for i := range c.actions {
+		c.carryOut(&c.actions[i], now)
+	}
+	c.flush()
+}
+
+// ms is a time on the module's clock: Unix milliseconds that never step.
+func (c *Core) ms(t time.Time) float64 {
+	return c.startMs + float64(t.Sub(c.start).Microseconds())/1000
+}
+
+func (c *Core) gather(in input, now time.Time) {
+	switch in.kind {
+	case inQuery:
+		c.take(in, now)
+	case inLeave:
+		if q := c.queries[in.id]; q != nil {
+			c.stats.left.Add(1)
+			c.events = append(c.events, decide.Event{Kind: decide.ClientLeft, ID: q.event})
+			c.drop(q)
+		}
+	case inOutcome:
+		if a := c.tries[in.attempt]; a != nil {
+			if in.outcome == decide.OK && !a.part.in {
+				a.part.in, a.part.value = true, in.value
+			}
+			c.ended(a, in.outcome, now)
+		}
+	case inProbed:
+		if addr, ok := c.names[in.node]; ok {
+			c.events = append(c.events, decide.Event{Kind: decide.ProbeDone, Addr: addr, Outcome: in.outcome,
+				TookMs: float64(in.took.Microseconds()) / 1000})
+		}
+	case inRoster:
+		c.roster(in.roster, now)
+	case inLimits:
+		c.opts.Limits = in.limits
+		c.queue.setLimit(in.limits.QueueLimit)
+	}
+}
+
+// take turns a query into the module's events. What the core has no room for
+// is refused before the module hears of it, as the settings demand.
+func (c *Core) take(in input, now time.Time) {
+	c.stats.queries.Add(1)
+	q := &query{Query: *in.query, id: in.id, replier: in.replier}
+	left := q.Budget - now.Sub(q.Came)
+	if room := c.opts.Limits.MaxOpen; room > 0 && c.held+1+len(q.Parts) > room {
+		c.finish(q, Reply{Verdict: Refused})
+		return
+	}
+	if left <= 0 {
+		c.finish(q, Reply{Verdict: Expired})
+		return
+	}
+	c.held += 1 + len(q.Parts)
+	c.stats.open.Add(1)
+	c.queries[q.id] = q
+	c.number++
+	c.lastID++
+	q.event = c.lastID
+	c.byEvent[q.event] = q
+	e := decide.Event{
+		Kind: decide.QueryCame, ID: q.event, Class: q.Class, Number: c.number, Retry: q.Retry,
+		LeftMs: float64(left.Microseconds()) / 1000, Parts: len(q.Parts), Hinted: true,
+	}
+	for _, p := range q.Parts {
+		e.WorkMs += p.WorkMs
+		e.Hinted = e.Hinted && p.Hinted
+	}
+	if !e.Hinted {
+		e.WorkMs = 0
+	}
+	c.events = append(c.events, e)
+	for _, p := range q.Parts {
+		c.lastID++
+		own := &part{id: c.lastID, q: q, shard: p.Shard}
+		c.parts[own.id] = own
+		q.parts = append(q.parts, own)
+		e.Kind, e.ID, e.Parts, e.Shard, e.Weight, e.Key = decide.PartCame, own.id, 0, p.Shard, p.Share, p.Route
+		e.WorkMs, e.Hinted = p.WorkMs, p.Hinted
+		c.events = append(c.events, e)
+	}
+}
+
+// ended gives the module the one outcome of an attempt.
+func (c *Core) ended(a *try, o decide.Outcome, now time.Time) {
+	delete(c.tries, a.id)
+	c.events = append(c.events, decide.Event{
+		Kind: decide.AttemptDone, ID: a.part.id, Attempt: a.n, Addr: a.addr, Outcome: o,
+		TookMs: float64(now.Sub(a.sent).Microseconds()) / 1000,
+	})
+}
+
+func (c *Core) roster(r Roster, now time.Time) {
+	e := decide.Event{Kind: decide.ListNews, List: r.Kind}
+	if r.Kind == decide.ListFailed {
+		c.events = append(c.events, e)
+		return
+	}
+	if r.Kind != decide.ListDelta {
+		listed := make(map[string]bool, len(r.Nodes))
+		for _, n := range r.Nodes {
+			listed[n.ID] = true
+		}
+		for _, n := range c.nodes {
+			if !listed[n.ID] {
+				n.depart(decide.Gone, now)
+			}
+		}
+	}
+	for _, n := range r.Nodes {
+		addr, ok := c.names[n.ID]
+		if !ok {
+			addr = decide.Addr(len(c.names) + 1)
+			c.names[n.ID] = addr
+			c.nodes[addr] = &node{}
+		}
+		own := c.nodes[addr]
+		left := own.left
+		own.Node, own.left = n, time.Time{}
+		if n.State != decide.Ready {
+			own.left = left
+			own.depart(n.State, now)
+		}
+		m := decide.Member{Addr: addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, State: n.State, Size: n.Weight}
+		if !n.Started.IsZero() {
+			m.ReadyAt = float64(n.Started.UnixMicro()) / 1000
+		}
+		e.Members = append(e.Members, m)
+	}
+	c.events = append(c.events, e)
+	var all []Node
+	for _, n := range c.nodes {
+		if n.State != decide.Gone {
+			all = append(all, n.Node)
+		}
+	}
+	c.opts.Nodes.Update(all)
+	c.opts.Log.Info().Str("event", "roster").Int64("version", r.Version).Int("changed", len(r.Nodes)).
+		Int("listed", len(all)).Msg("list of nodes changed")
+}
+
+func (n *node) depart(s decide.State, now time.Time) {
+	n.State = s
+	if n.left.IsZero() {
+		n.left = now
+	}
+}
+
+func (c *Core) carryOut(a *decide.Action, now time.Time) {
+	switch a.Kind {
+	case decide.Send:
+		c.send(a, now)
+	case decide.Cancel:
+		if p := c.parts[a.ID]; p != nil && a.Attempt < len(p.tries) {
+			c.giveUp(p.tries[a.Attempt], decide.Cancelled)
+		}
+	case decide.Timer:
+		heap.Push(&c.timers, timer{at: now.Add(duration(a.Ms)), token: a.Token})
+	case decide.Answer, decide.Refuse, decide.Abort:
+		c.conclude(a, now)
+	case decide.Probe:
+		if n := c.nodes[a.Addr]; n != nil {
+			c.opts.Nodes.Probe(n.ID)
+		}
+	case decide.CloseIdle:
+		if n := c.nodes[a.Addr]; n != nil {
+			c.opts.Nodes.CloseIdle(n.ID)
+		}
+	case decide.Log:
+		c.opts.Log.Info().Str("event", "decision").Msg(a.Text)
+	case decide.Subscribe:
+		if c.opts.Lister != nil {
+			c.opts.Lister.Subscribe(a.Whole)
+		}
+	case decide.FetchList:
+		if c.opts.Lister != nil {
+			c.opts.Lister.Fetch()
+		}
+	}
+}
+
+// send opens an attempt. What a rule forbids is not sent and comes back as an
+// outcome that proves it never ran: the core holds the rules whatever is asked.
+func (c *Core) send(a *decide.Action, now time.Time) {
+	p := c.parts[a.ID]
+	if p == nil {
+		return
+	}
+	c.lastTry++
+	t := &try{id: c.lastTry, part: p, n: len(p.tries), addr: a.Addr, sent: now}
+	p.tries = append(p.tries, t)
+	c.tries[t.id] = t
+	n, q := c.nodes[a.Addr], p.q
+	left := q.Budget - now.Sub(q.Came)
+	attempts := c.opts.Settings.MaxAttempts
+	switch {
+	case c.queries[q.id] != q, left <= 0, attempts > 0 && t.n >= attempts:
+		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.NotSent})
+		return
+	case n == nil, !n.left.IsZero() && now.Sub(n.left) > drainGuard:
+		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.Unreachable})
+		return
+	}
+	wait := left
+	if a.Ms > 0 {
+		wait = min(wait, duration(a.Ms))
+	}
+	t.node = n.ID
+	c.stats.attempts.Add(1)
+	heap.Push(&c.timers, timer{at: now.Add(wait), try: t.id})
+	c.batch = append(c.batch, Attempt{
+		ID: t.id, Node: n.ID, Query: q.Name, Shard: p.shard, Key: q.Key, Text: q.Text, Wait: wait,
+	})
+}
+
+// flush hands this turn's attempts to the node client, those of one node as
+// calls of the settings' size.
+func (c *Core) flush() {
+	size := max(1, c.opts.Settings.BundleMax)
+	for i := range c.batch {
+		if c.batch[i].ID == 0 {
+			continue
+		}
+		calls := []Attempt{c.batch[i]}
+		for j := i + 1; j < len(c.batch) && len(calls) < size; j++ {
+			if c.batch[j].ID != 0 && c.batch[j].Node == c.batch[i].Node {
+				calls = append(calls, c.batch[j])
+				c.batch[j].ID = 0
+			}
+		}
+		if t := c.tries[c.batch[i].ID]; t == nil || t.off {
+			continue
+		}
+		c.opts.Nodes.Send(calls[0].Node, calls)
+	}
+	clear(c.batch)
+	c.batch = c.batch[:0]
+}
+
+// giveUp ends an attempt that is out. The module hears of it in a later turn,
+// as it does of every outcome.
+func (c *Core) giveUp(t *try, o decide.Outcome) {
+	if c.tries[t.id] != t || t.off {
+		return
+	}
+	t.off = true
+	c.opts.Nodes.Cancel(t.node, t.id)
+	c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: o})
+}
+
+func (c *Core) conclude(a *decide.Action, now time.Time) {
+	q := c.byEvent[a.ID]
+	if q == nil {
+		return // it ended in this turn, or a part was named, which owes no answer
+	}
+	r := Reply{Verdict: Failed}
+	switch a.Kind {
+	case decide.Answer:
+		r.Verdict, r.Whole = Served, a.Whole
+		for _, p := range q.parts {
+			if p.in {
+				r.Values = append(r.Values, Value{Shard: p.shard, Data: p.value})
+			}
+		}
+		// Never call an answer whole that is missing a part a whole one needs.
+		r.Whole = r.Whole && c.enough(q)
+	case decide.Refuse:
+		r.Verdict, r.RetryAfter = Refused, duration(a.Ms)
+	case decide.Abort:
+		if now.Sub(q.Came) >= q.Budget-lateTimer {
+			r.Verdict = Expired
+		}
+	}
+	c.drop(q)
+	c.finish(q, r)
+}
+
+// enough says whether the parts that are in make a whole answer.
+func (c *Core) enough(q *query) bool {
+	need, in := 1.0, 0.0
+	if q.Class < len(c.opts.Settings.Classes) {
+		need = c.opts.Settings.Classes[q.Class].Need
+	}
+	for i, p := range q.parts {
+		if p.in {
+			in += q.Parts[i].Share
+		}
+	}
+	return in >= need-1e-4
+}
+
+// drop forgets a query; attempts still out are given up, and each keeps its
+// one outcome to come.
+func (c *Core) drop(q *query) {
+	for _, p := range q.parts {
+		for _, t := range p.tries {
+			c.giveUp(t, decide.Cancelled)
+		}
+		delete(c.parts, p.id)
+	}
+	delete(c.queries, q.id)
+	delete(c.byEvent, q.event)
+	c.held -= 1 + len(q.parts)
+	c.stats.open.Add(-1)
+}
+
+func (c *Core) finish(q *query, r Reply) {
+	switch r.Verdict {
+	case Served:
+		c.stats.served.Add(1)
+	case Refused:
+		c.stats.refused.Add(1)
+	case Failed:
+		c.stats.failed.Add(1)
+	case Expired:
+		c.stats.expired.Add(1)
+	}
+	q.replier.Reply(q.id, r)
+}
+
+// abandon ends every query still open when the core is stopped.
+func (c *Core) abandon() {
+	for _, in := range c.queue.close() {
+		if in.kind == inQuery {
+			in.replier.Reply(in.id, Reply{Verdict: Refused})
+		}
+	}
+	for _, q := range c.queries {
+		c.drop(q)
+		c.finish(q, Reply{Verdict: Failed})
+	}
+}
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+type timer struct {
+	at    time.Time
+	token uint64
+	try   AttemptID // 0: the module's own
+}
+
+// timers is a heap by time.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,104 @@
+// Package cli is the command line of gannetchute.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"onyxsail/config"
+	"onyxsail/daemon"
+)
+
+// Main runs the command line and returns the exit status.
+func Main(args []string, out, errs io.Writer) int {
+	root := New(out, errs)
+	root.SetArgs(args)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(errs, "gannetchute:", err)
+		return 1
+	}
+	return 0
+}
+
+// New returns the root command.
+func New(out, errs io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use: "gannetchute", Short: "A broker for queries over many shards",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.SetOut(out)
+	root.SetErr(errs)
+	var path string
+	root.PersistentFlags().StringVar(&path, "config", "", "configuration file (default: the one NODE_CONFIG names)")
+	root.AddCommand(serveCmd(&path), versionCmd(), checkCmd(&path))
+	return root
+}
+
+func serveCmd(path *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "serve", Short: "Run the broker until SIGTERM or SIGINT", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			cfg, err := config.Load(*path, os.Getenv)
+			if err != nil {
+				return err
+			}
+			level, err := zerolog.ParseLevel(cfg.LogLevel)
+			if err != nil || cfg.LogLevel == "" {
+				level = zerolog.InfoLevel
+			}
+			log := zerolog.New(cmd.ErrOrStderr()).Level(level).With().Timestamp().Logger()
+			daemon.TuneRuntime(cfg.Limits)
+			d, err := daemon.Start(cfg, log)
+			if err != nil {
+				return err
+			}
+			<-ctx.Done()
+			stop()
+			return d.Stop(context.Background())
+		},
+	}
+}
+
+func versionCmd() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version, revision := "(devel)", ""
+			if info, ok := debug.ReadBuildInfo(); ok {
+				if info.Main.Version != "" {
+					version = info.Main.Version
+				}
+				for _, s := range info.Settings {
+					if s.Key == "vcs.revision" {
+						revision = " " + s.Value
+					}
+				}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "gannetchute %s%s\n", version, revision)
+		},
+	}
+}
+
+func checkCmd(path *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "check-config", Short: "Read the configuration and say what is wrong with it", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := config.Load(*path, os.Getenv)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: ok (%d classes, %d shards)\n", cfg.Name, len(cfg.Classes), cfg.Settings.Shards)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,346 @@
+// Package config reads what the daemon is told: the platform's environment and
+// NODE_CONFIG, or an operator's file. Errors name the field at fault.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"onyxsail/decide"
+	"onyxsail/discovery"
+	"onyxsail/internal/wire"
+)
+
+// Limits are what the platform allows the process.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Flight sets up the Arrow Flight front. Nodes that speak Flight need nothing
+// here: their address in the list says so.
+type Flight struct {
+	Listen string `json:"listen"`
+}
+
+// Peer is one instance of the replicated store.
+type Peer struct {
+	Name   string `json:"name"`
+	Raft   string `json:"raft"`   // where the instances speak Raft
+	Flight string `json:"flight"` // where its Flight front listens
+}
+
+// Store sets up the replicated store.
+type Store struct {
+	Dir   string `json:"dir"`
+	Peers []Peer `json:"peers"` // all instances, this one too
+}
+
+// Class is what the fronts need of a class beside what the module knows.
+type Class struct {
+	Name  string
+	Keyed bool
+}
+
+// Config is all that the daemon is told, decoded once.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     *discovery.List
+	Settings  decide.Settings
+	Zones     []string
+	Kinds     []string
+	Classes   []Class
+
+	StreamsPerConn int
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration
+	HandOver       time.Duration // new connections are taken this long after SIGTERM
+	LogLevel       string
+	Flight         *Flight
+	Store          *Store
+}
+
+// file is the JSON form.
+type file struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Seed       string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	Known      json.RawMessage `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+	HandOverMs *float64        `json:"hand_over_ms"`
+	LogLevel   string          `json:"log_level"`
+	Flight     *Flight         `json:"flight"`
+	Store      *Store          `json:"store"`
+}
+
+// Field is an error in one field.
+type Field struct {
+	Path string
+	Err  error
+}
+
+func (f *Field) Error() string { return f.Path + ": " + f.Err.Error() }
+
+// Unwrap gives the cause.
+func (f *Field) Unwrap() error { return f.Err }
+
+func wrong(path, format string, args ...any) error {
+	return &Field{path, fmt.Errorf(format, args...)}
+}
+
+// defaultHandOver lies over the longest time that new connections still come
+// after SIGTERM, 0.4 s, and under the 0.7 s after which none may be lost.
+const defaultHandOver = 550 * time.Millisecond
+
+// Load reads the file at path, or the one that NODE_CONFIG names when path is
+// empty. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override the file.
+func Load(path string, getenv func(string) string) (*Config, error) {
+	if path == "" {
+		path = getenv("NODE_CONFIG")
+	}
+	if path == "" {
+		return nil, wrong("NODE_CONFIG", "not set, and no file was named")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Field{"NODE_CONFIG", fmt.Errorf("reading the configuration: %w", err)}
+	}
+	return Parse(data, getenv)
+}
+
+// Parse decodes a configuration. A field that the daemon does not know is a
+// fault in an operator's file; the platform's settings may hold more.
+func Parse(data []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		var t *json.UnmarshalTypeError
+		if errors.As(err, &t) {
+			return nil, wrong(t.Field, "got a %s, want %s", t.Value, t.Type)
+		}
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if d.More() {
+		return nil, errors.New("configuration: more follows the object")
+	}
+	for name, field := range map[string]*string{"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits,
+		HandOver: defaultHandOver, LogLevel: f.LogLevel, Flight: f.Flight, Store: f.Store,
+	}
+	if f.HandOverMs != nil {
+		c.HandOver = time.Duration(*f.HandOverMs * float64(time.Millisecond))
+	}
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return nil, wrong("seed", "got %q, want 16 hex digits", f.Seed)
+		}
+		c.Seed = seed
+	}
+	if err := c.settings(f.Settings); err != nil {
+		return nil, err
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		l, err := discovery.ParseList(f.Known, c.Zones, c.Kinds)
+		if err != nil {
+			return nil, &Field{"known", err}
+		}
+		c.Known = l
+	}
+	return c, c.check()
+}
+
+// settings flattens the nested object to the paths of the simulator's wire,
+// which one parser reads for both.
+func (c *Config) settings(raw json.RawMessage) error {
+	if len(raw) == 0 {
+		return wrong("settings", "missing")
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return &Field{"settings", err}
+	}
+	flat := map[string]string{}
+	flatten(flat, "", tree)
+	lines := make([]string, 0, len(flat))
+	for k, v := range flat {
+		lines = append(lines, k+"="+v)
+	}
+	sort.Strings(lines)
+	s, err := wire.ParseSettings(strings.Join(lines, "\n"))
+	if err != nil {
+		return &Field{"settings", err}
+	}
+	c.Settings = s
+	c.Zones, c.Kinds = list(flat["zones"]), list(flat["kinds"])
+	for i := range s.Classes {
+		name := flat[fmt.Sprintf("classes.%d.name", i)]
+		if name == "" {
+			return wrong(fmt.Sprintf("settings.classes[%d].name", i), "missing")
+		}
+		c.Classes = append(c.Classes, Class{Name: name, Keyed: s.Classes[i].Effect == decide.Keyed})
+	}
+	if len(c.Classes) == 0 {
+		return wrong("settings.classes", "missing")
+	}
+	for path, to := range map[string]*time.Duration{"caps.connectTimeoutMs": &c.ConnectTimeout, "caps.connIdleMs": &c.ConnIdle} {
+		ms, err := number(flat, path)
+		if err != nil {
+			return err
+		}
+		*to = time.Duration(ms * float64(time.Millisecond))
+	}
+	n, err := number(flat, "caps.streamsPerConn")
+	c.StreamsPerConn = int(n)
+	return err
+}
+
+func number(flat map[string]string, path string) (float64, error) {
+	v, ok := flat[path]
+	if !ok {
+		return 0, nil
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= 0 && n < 1e9) {
+		return 0, wrong("settings."+path, "got %q, want a number from 0 up", v)
+	}
+	return n, nil
+}
+
+func list(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// flatten writes path=value pairs in the form of the simulator's wire: lists
+// of plain values are joined by commas, lists of objects are counted.
+func flatten(flat map[string]string, path string, v any) {
+	join := func(key string) string {
+		if path == "" {
+			return key
+		}
+		return path + "." + key
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(flat, join(k), x)
+		}
+	case []any:
+		if len(v) > 0 {
+			if _, objects := v[0].(map[string]any); objects {
+				flat[join("count")] = strconv.Itoa(len(v))
+				for i, x := range v {
+					flatten(flat, join(strconv.Itoa(i)), x)
+				}
+				return
+			}
+		}
+		words := make([]string, len(v))
+		for i, x := range v {
+			words[i] = plain(x)
+		}
+		flat[path] = strings.Join(words, ",")
+	default:
+		flat[path] = plain(v)
+	}
+}
+
+func plain(v any) string {
+	if v == nil {
+		return ""
+	}
+	return strings.NewReplacer(" ", "_", ",", "_", "\n", "_").Replace(fmt.Sprint(v))
+}
+
+// loopback says whether addr is a host and port of this machine.
+func loopback(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || port == "" {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+func (c *Config) check() error {
+	for path, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+			return wrong(path, "got %q, want host:port", addr)
+		}
+	}
+	switch {
+	case c.Name == "":
+		return wrong("name", "missing")
+	case c.Limits.Cores < 0:
+		return wrong("limits.cores", "got %v, want 0 or more", c.Limits.Cores)
+	case c.Limits.MemoryMB < 0:
+		return wrong("limits.memory_mb", "got %d, want 0 or more", c.Limits.MemoryMB)
+	case c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < 64:
+		return wrong("limits.sockets", "got %d, want 64 or more", c.Limits.Sockets)
+	case c.HandOver < 0 || c.HandOver > 10*time.Second:
+		return wrong("hand_over_ms", "want 0 to 10000")
+	}
+	switch c.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		return wrong("log_level", "got %q, want debug, info, warn or error", c.LogLevel)
+	}
+	if c.Flight != nil && !loopback(c.Flight.Listen) {
+		return wrong("flight.listen", "got %q, want a loopback host:port", c.Flight.Listen)
+	}
+	if c.Store == nil {
+		return nil
+	}
+	if c.Flight == nil {
+		return wrong("flight", "missing: the store's commands come over Flight")
+	}
+	if c.Store.Dir == "" {
+		return wrong("store.dir", "missing")
+	}
+	own := false
+	seen := map[string]bool{}
+	for i, p := range c.Store.Peers {
+		at := fmt.Sprintf("store.peers[%d].", i)
+		if p.Name == "" || seen[p.Name] {
+			return wrong(at+"name", "got %q, want a name, each once", p.Name)
+		}
+		if !loopback(p.Raft) {
+			return wrong(at+"raft", "got %q, want a loopback host:port", p.Raft)
+		}
+		if !loopback(p.Flight) {
+			return wrong(at+"flight", "got %q, want a loopback host:port", p.Flight)
+		}
+		seen[p.Name] = true
+		own = own || p.Name == c.Name
+	}
+	if !own {
+		return wrong("store.peers", "%q is not among them", c.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,156 @@
+// Package daemon puts the broker together from a configuration: core, fronts,
+// node clients and the roster. A program that embeds the broker starts here.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/config"
+	"onyxsail/decide"
+	"onyxsail/discovery"
+	"onyxsail/httpfront"
+	"onyxsail/internal/netio"
+	"onyxsail/nodeclient"
+)
+
+const (
+	defaultSockets = 1024
+	maxWrite       = 4 << 20         // bytes that wait at one connection
+	drainWithin    = 8 * time.Second // beyond the longest deadline nothing is left
+)
+
+// Daemon is one broker that runs.
+type Daemon struct {
+	cfg    *config.Config
+	log    zerolog.Logger
+	loop   *netio.Loop
+	core   *broker.Core
+	nodes  *nodeclient.Client
+	front  *httpfront.Front
+	cancel context.CancelFunc // of the roster
+	stop   context.CancelFunc // of the core
+	wg     sync.WaitGroup
+}
+
+// TuneRuntime fits the Go runtime to the platform's limits: it is called once
+// by a program that is the broker alone.
+func TuneRuntime(l config.Limits) {
+	// Two, also on one core: the socket goroutine sits in epoll_wait, and with
+	// one the core would wait until the scheduler takes its place back.
+	runtime.GOMAXPROCS(max(2, int(l.Cores+0.5)))
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 7 / 10)
+	}
+	debug.SetGCPercent(400) // the live heap is small beside the limit
+}
+
+// sink breaks the circle between the core and its node clients.
+type sink struct{ core *broker.Core }
+
+func (s *sink) Outcome(id broker.AttemptID, o decide.Outcome, value []byte) {
+	s.core.Outcome(id, o, value)
+}
+
+func (s *sink) Probed(node string, o decide.Outcome, took time.Duration) {
+	s.core.Probed(node, o, took)
+}
+
+// Start starts a broker. Its client's port answers when Start returns.
+func Start(cfg *config.Config, log zerolog.Logger) (*Daemon, error) {
+	loop, err := netio.New(maxWrite)
+	if err != nil {
+		return nil, err
+	}
+	sockets := cfg.Limits.Sockets
+	if sockets == 0 {
+		sockets = defaultSockets
+	}
+	d := &Daemon{cfg: cfg, log: log, loop: loop}
+	s := &sink{}
+	d.nodes = nodeclient.New(nodeclient.Options{
+		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
+		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 3 / 8, Log: log,
+	})
+	d.core = broker.New(broker.Options{
+		Settings: cfg.Settings, Seed: cfg.Seed, Nodes: d.nodes, Log: log,
+		Limits: broker.Limits{MaxOpen: cfg.Settings.MaxOpen},
+	})
+	s.core = d.core
+	if cfg.Known != nil {
+		d.core.Roster(broker.Roster{Kind: decide.ListCached, Version: cfg.Known.Version, Nodes: cfg.Known.Nodes})
+	}
+	var run, follow context.Context
+	run, d.stop = context.WithCancel(context.Background())
+	follow, d.cancel = context.WithCancel(context.Background())
+	d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
+		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
+		MaxConns: sockets * 3 / 8, Log: log,
+	})
+	if err != nil {
+		d.nodes.Close()
+		loop.Stop()
+		return nil, err
+	}
+	d.wg.Add(2)
+	go func() {
+		defer d.wg.Done()
+		d.core.Run(run)
+	}()
+	go func() {
+		defer d.wg.Done()
+		discovery.New(discovery.Options{
+			Addr: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds, Deliver: d.core.Roster, Log: log,
+		}).Run(follow)
+	}()
+	d.front.SetReady(true)
+	log.Info().Str("event", "started").Str("name", cfg.Name).Str("listen", d.Addr().String()).
+		Str("procs", strconv.Itoa(runtime.GOMAXPROCS(0))).Msg("serving")
+	return d, nil
+}
+
+func classes(cfg *config.Config) map[string]httpfront.Class {
+	m := make(map[string]httpfront.Class, len(cfg.Classes))
+	for i, c := range cfg.Classes {
+		m[c.Name] = httpfront.Class{Name: c.Name, Index: i, Keyed: c.Keyed}
+	}
+	return m
+}
+
+// Addr is where clients connect.
+func (d *Daemon) Addr() net.Addr { return d.front.Addr() }
+
+// Stats returns the core's counts.
+func (d *Daemon) Stats() broker.Stats { return d.core.Stats() }
+
+// Stop takes new connections through the hand-over window, answers all that
+// was taken and ends.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.log.Info().Str("event", "draining").Dur("window", d.cfg.HandOver).Msg("told to stop")
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.HandOver+drainWithin)
+	defer cancel()
+	d.front.Drain(ctx, d.cfg.HandOver)
+	err := ctx.Err()
+	d.cancel()
+	d.stop()
+	d.wg.Wait()
+	d.nodes.Close()
+	d.loop.Stop()
+	s := d.core.Stats()
+	d.log.Info().Str("event", "stopped").Int64("queries", s.Queries).Int64("served", s.Served).
+		Int64("refused", s.Refused).Int64("failed", s.Failed).Int64("expired", s.Expired).Int64("left", s.Left).
+		Int64("attempts", s.Attempts).Int64("turns", s.Turns).Msg("stopped")
+	if err != nil {
+		return fmt.Errorf("draining: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/discovery/client.go
@@ -0,0 +1,155 @@
+// Package discovery follows the list of nodes: it fetches the whole list once
+// and then watches for changes.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/http1"
+)
+
+const (
+	maxList     = 8 << 20
+	watchFor    = 20 * time.Second
+	answerSlack = 2 * time.Second // beyond what a call may wait
+	firstPause  = 20 * time.Millisecond
+	longPause   = time.Second
+)
+
+// Options make a Client.
+type Options struct {
+	Addr         string
+	Zones, Kinds []string
+	Deliver      func(broker.Roster)
+	Log          zerolog.Logger
+}
+
+// Client follows the list. It keeps one connection.
+type Client struct {
+	opts    Options
+	conn    net.Conn
+	parser  http1.Parser
+	version int64 // of the latest answer
+	whole   bool  // a full list has come
+}
+
+// New returns a client that Run starts.
+func New(o Options) *Client { return &Client{opts: o} }
+
+// Run follows the list until ctx ends. The next call goes out as soon as an
+// answer is read, which keeps the watch going: a call over 200 ms later would
+// begin a new one.
+func (c *Client) Run(ctx context.Context) {
+	defer c.hangUp()
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := c.step(ctx)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		c.hangUp()
+		if ctx.Err() != nil {
+			return
+		}
+		// What is in hand stands: the module works on with its old list.
+		c.opts.Log.Warn().Str("event", "discovery").Err(err).Dur("pause", pause).Msg("discovery does not answer")
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		pause = min(2*pause, longPause)
+	}
+}
+
+// step makes one call and delivers its answer.
+func (c *Client) step(ctx context.Context) error {
+	path, wait := "/v1/endpoints", time.Duration(0)
+	if c.whole {
+		q := url.Values{"after": {strconv.FormatInt(c.version, 10)}, "wait_ms": {strconv.FormatInt(watchFor.Milliseconds(), 10)}}
+		path, wait = path+"?"+q.Encode(), watchFor
+	}
+	m, err := c.call(ctx, path, wait+answerSlack)
+	if err != nil {
+		return err
+	}
+	if m.Status != 200 {
+		return fmt.Errorf("calling discovery: status %d", m.Status)
+	}
+	l, err := ParseList(m.Body, c.opts.Zones, c.opts.Kinds)
+	if err != nil {
+		c.whole = false // a change was missed: fetch the whole list
+		return err
+	}
+	if !l.Full && !c.whole {
+		return errors.New("calling discovery: changes came where the whole list was asked for")
+	}
+	c.version = l.Version
+	kind := decide.ListDelta
+	if l.Full {
+		kind, c.whole = decide.ListFull, true
+	}
+	if l.Full || len(l.Nodes) > 0 {
+		c.opts.Deliver(broker.Roster{Kind: kind, Version: l.Version, Nodes: l.Nodes})
+	}
+	return nil
+}
+
+func (c *Client) call(ctx context.Context, path string, within time.Duration) (*http1.Message, error) {
+	if c.conn == nil {
+		d := net.Dialer{Timeout: answerSlack}
+		conn, err := d.DialContext(ctx, "tcp", c.opts.Addr)
+		if err != nil {
+			return nil, fmt.Errorf("reaching discovery: %w", err)
+		}
+		c.conn, c.parser = conn, http1.Parser{MaxBody: maxList, Answers: true}
+	}
+	conn := c.conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	defer stop()
+	if err := conn.SetDeadline(time.Now().Add(within)); err != nil {
+		return nil, fmt.Errorf("calling discovery: %w", err)
+	}
+	if _, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + c.opts.Addr + "\r\n\r\n")); err != nil {
+		return nil, fmt.Errorf("calling discovery: %w", err)
+	}
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := conn.Read(buf)
+		c.parser.Feed(buf[:n])
+		m, bad := c.parser.Next()
+		if bad == nil && m == nil && err != nil {
+			m, bad = c.parser.End()
+		}
+		switch {
+		case bad != nil:
+			return nil, fmt.Errorf("reading discovery's answer: %w", bad)
+		case m != nil && m.Status >= 200:
+			if m.Close || err != nil {
+				c.hangUp()
+			}
+			return m, nil
+		case err != nil:
+			return nil, fmt.Errorf("reading discovery's answer: %w", err)
+		}
+	}
+}
+
+func (c *Client) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/httpfront/front.go
@@ -0,0 +1,367 @@
+// Package httpfront is the platform's front: HTTP/1.1 over TCP, one POST a
+// query, and GET /ready.
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/internal/http1"
+	"onyxsail/internal/netio"
+)
+
+const (
+	maxPipelined = 16              // requests of one connection in work at once
+	maxUnread    = 256 << 10       // bytes of later requests that a connection may hold
+	lingerFor    = 2 * time.Second // for the other side's end, after ours
+	headWithin   = 10 * time.Second
+	sweepEvery   = time.Second
+)
+
+// Core is what the front needs of the broker.
+type Core interface {
+	Submit(*broker.Query, broker.Replier) (broker.QueryID, bool)
+	Leave(broker.QueryID)
+}
+
+// Options make a Front.
+type Options struct {
+	Core     Core
+	Loop     *netio.Loop
+	Classes  map[string]Class
+	Shards   int // 0: unknown
+	MaxConns int
+	Log      zerolog.Logger
+}
+
+// Front accepts connections and serves them.
+type Front struct {
+	opts     Options
+	listener net.Listener
+	slots    chan struct{} // one for each connection that may be open
+	ready    atomic.Bool
+	draining atomic.Bool
+	accepted sync.WaitGroup
+	stop     chan struct{}
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// Listen opens the front's socket and begins to serve.
+func Listen(addr string, o Options) (*Front, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening for clients: %w", err)
+	}
+	f := &Front{
+		opts: o, listener: l, slots: make(chan struct{}, max(1, o.MaxConns)),
+		conns: map[*conn]struct{}{}, stop: make(chan struct{}),
+	}
+	f.accepted.Add(2)
+	go f.accept()
+	go f.sweep()
+	return f, nil
+}
+
+// Addr is where the front listens.
+func (f *Front) Addr() net.Addr { return f.listener.Addr() }
+
+// SetReady makes GET /ready answer 200.
+func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
+
+func (f *Front) accept() {
+	defer f.accepted.Done()
+	for {
+		// No room: wait with what is not accepted, which is not yet ours.
+		f.slots <- struct{}{}
+		nc, err := f.listener.Accept()
+		if err != nil {
+			<-f.slots
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			f.opts.Log.Warn().Str("event", "accept").Err(err).Msg("a connection could not be accepted")
+			time.Sleep(10 * time.Millisecond) // out of descriptors: let some close
+			continue
+		}
+		c := &conn{f: f, parser: http1.Parser{MaxBody: MaxBody}, since: time.Now()}
+		_, err = f.opts.Loop.Attach(nc, c, func(s *netio.Conn) {
+			c.sock = s
+			f.mu.Lock()
+			f.conns[c] = struct{}{}
+			f.mu.Unlock()
+		})
+		if err != nil {
+			if c.sock == nil { // else Closed gives the slot back
+				<-f.slots
+			}
+			f.opts.Log.Warn().Str("event", "accept").Err(err).Msg("a connection could not be accepted")
+		}
+	}
+}
+
+// sweep closes connections whose request never becomes whole.
+func (f *Front) sweep() {
+	defer f.accepted.Done()
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-tick.C:
+		}
+		for _, c := range f.list() {
+			c.mu.Lock()
+			slow := c.parser.Mid() && len(c.slots) == 0 && !c.ending && time.Since(c.since) > headWithin
+			c.mu.Unlock()
+			if slow {
+				c.fail(http.StatusRequestTimeout, "the request did not become whole")
+			}
+		}
+	}
+}
+
+func (f *Front) list() []*conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]*conn, 0, len(f.conns))
+	for c := range f.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Drain ends the front without cutting off a request: /ready says no, answers
+// ask for the connection's end, and new connections are taken for window. Then
+// the socket closes, and Drain returns when no request is left and the
+// connections are closed, or when ctx ends.
+func (f *Front) Drain(ctx context.Context, window time.Duration) {
+	f.SetReady(false)
+	f.draining.Store(true)
+	sleep(ctx, window)
+	if err := f.listener.Close(); err != nil {
+		f.opts.Log.Warn().Str("event", "drain").Err(err).Msg("closing the listener")
+	}
+	close(f.stop)
+	for ctx.Err() == nil {
+		open := f.list()
+		if len(open) == 0 {
+			break
+		}
+		for _, c := range open {
+			c.endIfIdle()
+		}
+		sleep(ctx, 10*time.Millisecond)
+	}
+	for _, c := range f.list() {
+		c.sock.Close()
+	}
+	f.accepted.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// conn is one connection. Answers leave in the order of their requests.
+type conn struct {
+	f    *Front
+	sock *netio.Conn
+
+	mu     sync.Mutex
+	parser http1.Parser
+	slots  []*slot
+	since  time.Time // of the latest event, for slow requests
+	ending bool      // nothing more is read from it
+	closed bool
+}
+
+type slot struct {
+	id    broker.QueryID
+	out   []byte
+	done  bool
+	last  bool // the connection ends after this answer
+	close bool // the request asked for that
+}
+
+// Data implements netio.Handler.
+func (c *conn) Data(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return
+	}
+	if !c.parser.Mid() {
+		c.since = time.Now()
+	}
+	c.parser.Feed(b)
+	c.work()
+	if c.parser.WantsContinue() && len(c.slots) == 0 {
+		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	if c.parser.Buffered() > maxUnread {
+		c.reject(http.StatusBadRequest, "too much was sent ahead")
+	}
+}
+
+// work takes the requests that are whole.
+func (c *conn) work() {
+	for len(c.slots) < maxPipelined && !c.ending {
+		m, err := c.parser.Next()
+		if err != nil {
+			c.reject(statusOf(err), err.Error())
+			return
+		}
+		if m == nil {
+			return
+		}
+		c.serve(m)
+	}
+}
+
+// reject answers what cannot be read, after the answers before it, and ends
+// the connection: where the next request begins is not known.
+func (c *conn) reject(status int, why string) {
+	c.ending = true
+	c.slots = append(c.slots, &slot{done: true, last: true, out: encode(nil, status, why, 0, true)})
+	c.advance()
+}
+
+func (c *conn) fail(status int, why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.reject(status, why)
+	}
+}
+
+func (c *conn) serve(m *http1.Message) {
+	s := &slot{close: m.Close}
+	c.slots = append(c.slots, s)
+	if m.Close {
+		c.ending = true
+	}
+	if path, _, _ := strings.Cut(m.Target, "?"); path == "/ready" {
+		status, text := http.StatusOK, "ready"
+		if m.Method != http.MethodGet {
+			status, text = http.StatusMethodNotAllowed, "want GET"
+		} else if !c.f.ready.Load() {
+			status, text = http.StatusServiceUnavailable, "not ready"
+		}
+		c.finish(s, func(last bool) []byte { return encode(nil, status, text, 0, last) })
+		return
+	}
+	q, err := decode(m, c.f.opts.Classes, c.f.opts.Shards, time.Now())
+	if err != nil {
+		status := http.StatusBadRequest
+		if f := (*fault)(nil); errors.As(err, &f) {
+			status = f.status
+		}
+		c.finish(s, func(last bool) []byte { return encode(nil, status, err.Error(), 0, last) })
+		return
+	}
+	id, ok := c.f.opts.Core.Submit(q, c)
+	if !ok {
+		c.finish(s, func(last bool) []byte { return encodeReply(nil, broker.Reply{Verdict: broker.Refused}, last) })
+		return
+	}
+	s.id = id
+}
+
+// Reply implements broker.Replier.
+func (c *conn) Reply(id broker.QueryID, r broker.Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.slots {
+		if s.id == id && !s.done {
+			c.finish(s, func(last bool) []byte { return encodeReply(nil, r, last) })
+			c.work()
+			return
+		}
+	}
+}
+
+func (c *conn) finish(s *slot, render func(last bool) []byte) {
+	s.last = s.close || c.f.draining.Load() && s == c.slots[len(c.slots)-1] && c.parser.Buffered() == 0
+	s.done, s.out = true, render(s.last)
+	c.advance()
+}
+
+// advance writes the answers whose turn has come.
+func (c *conn) advance() {
+	for len(c.slots) > 0 && c.slots[0].done && !c.closed {
+		s := c.slots[0]
+		c.slots = c.slots[1:]
+		c.since = time.Now()
+		c.write(s.out)
+		if s.last {
+			c.ending = true
+			c.end()
+			return
+		}
+	}
+}
+
+func (c *conn) write(b []byte) {
+	if c.closed {
+		return
+	}
+	if _, err := c.sock.Write(b); err != nil {
+		c.closed = true // Closed follows
+	}
+}
+
+// end closes our side once all has left, and the whole when the client has
+// closed its own or has had time to: a plain close could destroy an answer
+// that the client has not read yet.
+func (c *conn) end() {
+	c.sock.AfterFlush(func() {
+		_ = c.sock.CloseWrite() // fails only where the socket is gone already
+		time.AfterFunc(lingerFor, c.sock.Close)
+	})
+}
+
+// endIfIdle ends a connection that carries no request, while draining.
+func (c *conn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.slots) == 0 && !c.ending && !c.parser.Mid() {
+		c.ending = true
+		c.end()
+	}
+}
+
+// Closed implements netio.Handler: the client has gone.
+func (c *conn) Closed(error) {
+	c.mu.Lock()
+	c.closed, c.ending = true, true
+	slots := c.slots
+	c.slots = nil
+	c.mu.Unlock()
+	for _, s := range slots {
+		if !s.done && s.id != 0 {
+			c.f.opts.Core.Leave(s.id)
+		}
+	}
+	c.f.mu.Lock()
+	delete(c.f.conns, c)
+	c.f.mu.Unlock()
+	<-c.f.slots
+}
--- /dev/null
+++ b/internal/netio/netio.go
@@ -0,0 +1,131 @@
+// Package netio runs stream connections on one nbio engine: it delivers what
+// is read to a Handler and counts what has left for the network.
+package netio
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// Handler takes the events of one connection. Data comes from the engine's
+// goroutine, and b is valid during the call only; Closed comes once, from a
+// goroutine of its own, so that it may be caused by a Write of the handler's
+// under a lock.
+type Handler interface {
+	Data(b []byte)
+	Closed(err error)
+}
+
+// Loop is one engine with one polling goroutine.
+type Loop struct{ engine *nbio.Engine }
+
+// Conn is a connection on a Loop.
+type Conn struct {
+	nc      *nbio.Conn
+	h       Handler
+	queued  atomic.Int64
+	written atomic.Int64
+	closed  atomic.Bool
+	onFlush atomic.Pointer[func()]
+}
+
+// New starts a loop whose write buffers hold at most maxWrite bytes a
+// connection.
+func New(maxWrite int) (*Loop, error) {
+	logging.SetLevel(logging.LevelNone) // the engine's own lines bypass our log
+	e := nbio.NewEngine(nbio.Config{
+		Name: "gannetchute", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxWrite,
+	})
+	e.OnData(func(nc *nbio.Conn, b []byte) {
+		if c, ok := nc.Session().(*Conn); ok && !c.closed.Load() {
+			c.h.Data(b)
+		}
+	})
+	e.OnClose(func(nc *nbio.Conn, err error) {
+		if c, ok := nc.Session().(*Conn); ok && !c.closed.Swap(true) {
+			go c.h.Closed(err)
+		}
+	})
+	e.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		if c, ok := nc.Session().(*Conn); ok && n > 0 {
+			if done := c.written.Add(int64(n)); done >= c.queued.Load() {
+				if f := c.onFlush.Swap(nil); f != nil {
+					go (*f)()
+				}
+			}
+		}
+	})
+	if err := e.Start(); err != nil {
+		return nil, fmt.Errorf("starting the socket engine: %w", err)
+	}
+	return &Loop{engine: e}, nil
+}
+
+// Stop ends the loop and closes its connections.
+func (l *Loop) Stop() { l.engine.Stop() }
+
+// Attach moves an open connection onto the loop. set, if not nil, is called
+// with the Conn before the first event can come; only after Attach has
+// returned, or from an event, may the Conn be written to. If Attach fails
+// after set, the handler's Closed still comes.
+func (l *Loop) Attach(conn net.Conn, h Handler, set func(*Conn)) (*Conn, error) {
+	nc, err := nbio.NBConn(conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("taking over a connection: %w", err)
+	}
+	c := &Conn{nc: nc, h: h}
+	nc.SetSession(c)
+	if set != nil {
+		set(c)
+	}
+	if _, err := l.engine.AddConn(nc); err != nil {
+		return nil, fmt.Errorf("adding a connection: %w", err)
+	}
+	return c, nil
+}
+
+// Write queues b, which it copies where it cannot leave at once, and returns
+// the position in the stream of its last byte. After an error the connection
+// is closed; Written tells what had left.
+func (c *Conn) Write(b []byte) (end int64, err error) {
+	end = c.queued.Add(int64(len(b)))
+	if _, err := c.nc.Write(b); err != nil {
+		return end, fmt.Errorf("writing %d bytes: %w", len(b), err)
+	}
+	return end, nil
+}
+
+// Written is how many bytes the kernel has taken: a frame whose last byte lies
+// beyond it cannot have been read by the other side.
+func (c *Conn) Written() int64 { return c.written.Load() }
+
+// Backlog is how many bytes wait to be written.
+func (c *Conn) Backlog() int64 { return c.queued.Load() - c.written.Load() }
+
+// Close closes the connection at once. The handler's Closed still comes.
+func (c *Conn) Close() { _ = c.nc.Close() }
+
+// AfterFlush calls f from another goroutine once all that was queued has left.
+func (c *Conn) AfterFlush(f func()) {
+	c.onFlush.Store(&f)
+	if c.Backlog() <= 0 {
+		if f := c.onFlush.Swap(nil); f != nil {
+			go (*f)()
+		}
+	}
+}
+
+// CloseWrite ends our side of the stream and leaves the other open, so that
+// what was written last is not destroyed by a reset.
+func (c *Conn) CloseWrite() error {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return shutdownWrite(raw)
+}
