--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,8 +18,11 @@
 	"onyxsail/config"
 	"onyxsail/decide"
 	"onyxsail/discovery"
+	"onyxsail/flightfront"
+	"onyxsail/flightnode"
 	"onyxsail/httpfront"
 	"onyxsail/internal/netio"
+	"onyxsail/internal/query"
 	"onyxsail/nodeclient"
 )
 
@@ -36,7 +39,9 @@
 	loop   *netio.Loop
 	core   *broker.Core
 	nodes  *nodeclient.Client
+	remote *flightnode.Client
 	front  *httpfront.Front
+	flight *flightfront.Front // nil: off
 	cancel context.CancelFunc // of the roster
 	stop   context.CancelFunc // of the core
 	wg     sync.WaitGroup
@@ -81,8 +86,12 @@
 		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
 		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 3 / 8, Log: log,
 	})
+	d.remote = flightnode.New(flightnode.Options{
+		Sink: s, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Log: log,
+	})
 	d.core = broker.New(broker.Options{
-		Settings: cfg.Settings, Seed: cfg.Seed, Nodes: d.nodes, Log: log,
+		Settings: cfg.Settings, Seed: cfg.Seed, Log: log,
+		Nodes:  &router{frames: d.nodes, flight: d.remote, sink: s},
 		Limits: broker.Limits{MaxOpen: cfg.Settings.MaxOpen},
 	})
 	s.core = d.core
@@ -96,9 +105,13 @@
 		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
 		MaxConns: sockets * 3 / 8, Log: log,
 	})
+	if err == nil && cfg.Flight != nil {
+		d.flight, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
+			Core: d.core, Classes: classes(cfg), Shards: cfg.Settings.Shards, MaxConns: sockets / 8, Log: log,
+		})
+	}
 	if err != nil {
-		d.nodes.Close()
-		loop.Stop()
+		d.abort()
 		return nil, err
 	}
 	d.wg.Add(2)
@@ -118,10 +131,22 @@
 	return d, nil
 }
 
-func classes(cfg *config.Config) map[string]httpfront.Class {
-	m := make(map[string]httpfront.Class, len(cfg.Classes))
+// abort undoes a start that failed half way.
+func (d *Daemon) abort() {
+	if d.front != nil {
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		d.front.Drain(over, 0)
+	}
+	d.nodes.Close()
+	d.remote.Close()
+	d.loop.Stop()
+}
+
+func classes(cfg *config.Config) map[string]query.Class {
+	m := make(map[string]query.Class, len(cfg.Classes))
 	for i, c := range cfg.Classes {
-		m[c.Name] = httpfront.Class{Name: c.Name, Index: i, Keyed: c.Keyed}
+		m[c.Name] = query.Class{Name: c.Name, Index: i, Keyed: c.Keyed, DeadlineMs: cfg.Settings.Classes[i].DeadlineMs}
 	}
 	return m
 }
@@ -129,6 +154,14 @@
 // Addr is where clients connect.
 func (d *Daemon) Addr() net.Addr { return d.front.Addr() }
 
+// FlightAddr is where Flight clients connect; nil where that front is off.
+func (d *Daemon) FlightAddr() net.Addr {
+	if d.flight == nil {
+		return nil
+	}
+	return d.flight.Addr()
+}
+
 // Stats returns the core's counts.
 func (d *Daemon) Stats() broker.Stats { return d.core.Stats() }
 
@@ -139,11 +172,15 @@
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.HandOver+drainWithin)
 	defer cancel()
 	d.front.Drain(ctx, d.cfg.HandOver)
+	if d.flight != nil {
+		d.flight.Drain(ctx)
+	}
 	err := ctx.Err()
 	d.cancel()
 	d.stop()
 	d.wg.Wait()
 	d.nodes.Close()
+	d.remote.Close()
 	d.loop.Stop()
 	s := d.core.Stats()
 	d.log.Info().Str("event", "stopped").Int64("queries", s.Queries).Int64("served", s.Served).
--- /dev/null
+++ b/daemon/route.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"strings"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+)
+
+// router sends what is for a node to the client of its kind, which the node's
+// address in the list tells. The core's goroutine alone uses it.
+type router struct {
+	frames, flight broker.NodeClient
+	sink           broker.Sink
+	kinds          map[string]broker.NodeClient
+}
+
+// Update implements broker.NodeClient.
+func (r *router) Update(nodes []broker.Node) {
+	kinds := make(map[string]broker.NodeClient, len(nodes))
+	var frames, flight []broker.Node
+	for _, n := range nodes {
+		if strings.HasPrefix(n.Addr, broker.FlightScheme) {
+			kinds[n.ID], flight = r.flight, append(flight, n)
+		} else {
+			kinds[n.ID], frames = r.frames, append(frames, n)
+		}
+	}
+	// A node that has left the list may still carry attempts to cancel.
+	for id, k := range r.kinds {
+		if kinds[id] == nil && len(kinds) < maxKinds {
+			kinds[id] = k
+		}
+	}
+	r.kinds = kinds
+	r.frames.Update(frames)
+	r.flight.Update(flight)
+}
+
+const maxKinds = 4096
+
+// Send implements broker.NodeClient.
+func (r *router) Send(node string, calls []broker.Attempt) {
+	if k := r.kinds[node]; k != nil {
+		k.Send(node, calls)
+		return
+	}
+	for _, a := range calls {
+		r.sink.Outcome(a.ID, decide.Unreachable, nil)
+	}
+}
+
+// Cancel implements broker.NodeClient.
+func (r *router) Cancel(node string, id broker.AttemptID) {
+	if k := r.kinds[node]; k != nil {
+		k.Cancel(node, id)
+	}
+}
+
+// Probe implements broker.NodeClient.
+func (r *router) Probe(node string) {
+	if k := r.kinds[node]; k != nil {
+		k.Probe(node)
+		return
+	}
+	r.sink.Probed(node, decide.Unreachable, 0)
+}
+
+// CloseIdle implements broker.NodeClient.
+func (r *router) CloseIdle(node string) {
+	if k := r.kinds[node]; k != nil {
+		k.CloseIdle(node)
+	}
+}
--- /dev/null
+++ b/flightnode/client.go
@@ -0,0 +1,327 @@
+// Package flightnode carries attempts to nodes that speak Arrow Flight: one
+// DoGet a part, one connection a node.
+package flightnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/flightwire"
+)
+
+const (
+	maxAnswer = 1 << 20
+	idleShare = 0.7
+	maxCalls  = 4096 // attempts out at once, over all nodes
+)
+
+// Options make a Client.
+type Options struct {
+	Sink           broker.Sink
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration
+	MaxConns       int
+	Log            zerolog.Logger
+}
+
+// Client implements broker.NodeClient. It holds no socket and no goroutine
+// while no Flight node has work.
+type Client struct {
+	opts Options
+	done sync.WaitGroup
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	calls map[broker.AttemptID]context.CancelFunc
+	conns int
+	shut  bool
+}
+
+type node struct {
+	id, addr string
+	conn     *grpc.ClientConn // nil until it is needed
+	out      int              // attempts and probes
+	listed   bool
+}
+
+// New returns a client; Close ends it.
+func New(o Options) *Client {
+	if o.ConnectTimeout <= 0 {
+		o.ConnectTimeout = 250 * time.Millisecond
+	}
+	o.MaxConns = max(1, o.MaxConns)
+	return &Client{opts: o, nodes: map[string]*node{}, calls: map[broker.AttemptID]context.CancelFunc{}}
+}
+
+// Close ends the client and waits for what it has out.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.shut = true
+	for _, cancel := range c.calls {
+		cancel()
+	}
+	for _, n := range c.nodes {
+		c.hangUp(n)
+	}
+	c.mu.Unlock()
+	c.done.Wait()
+}
+
+func (c *Client) hangUp(n *node) {
+	if n.conn != nil {
+		_ = n.conn.Close()
+		n.conn = nil
+		c.conns--
+	}
+}
+
+// Update implements broker.NodeClient.
+func (c *Client) Update(nodes []broker.Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		n.listed = false
+	}
+	for _, in := range nodes {
+		n := c.nodes[in.ID]
+		addr := strings.TrimPrefix(in.Addr, broker.FlightScheme)
+		if n == nil || n.addr != addr && n.out > 0 { // what is out at the old address ends there
+			n = &node{id: in.ID, addr: addr}
+			c.nodes[in.ID] = n
+		} else if n.addr != addr {
+			c.hangUp(n)
+			n.addr = addr
+		}
+		n.listed = true
+	}
+	for id, n := range c.nodes {
+		if !n.listed && n.out == 0 {
+			c.hangUp(n)
+			delete(c.nodes, id)
+		}
+	}
+}
+
+// reach returns the node and its connection, made if need be.
+func (c *Client) reach(id string) *node {
+	n := c.nodes[id]
+	if n == nil || c.shut {
+		return nil
+	}
+	if n.conn == nil {
+		if c.conns >= c.opts.MaxConns {
+			c.opts.Log.Warn().Str("event", "pool-full").Str("node", id).Int("conns", c.conns).
+				Msg("no connection may be opened")
+			return nil
+		}
+		conn, err := grpc.NewClient("passthrough:///"+n.addr,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
+			grpc.WithIdleTimeout(time.Duration(idleShare*float64(c.opts.ConnIdle))),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer)),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
+				MinConnectTimeout: c.opts.ConnectTimeout,
+			}))
+		if err != nil {
+			c.opts.Log.Error().Str("event", "connect").Str("node", id).Err(err).Msg("a node could not be reached")
+			return nil
+		}
+		n.conn = conn
+		c.conns++
+	}
+	return n
+}
+
+// Send implements broker.NodeClient. Flight has no calls of many parts: each
+// part is a DoGet.
+func (c *Client) Send(id string, calls []broker.Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.reach(id)
+	for _, a := range calls {
+		if n == nil || len(c.calls) >= maxCalls {
+			c.opts.Sink.Outcome(a.ID, decide.Unreachable, nil)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), a.Wait)
+		c.calls[a.ID] = cancel
+		n.out++
+		c.done.Add(1)
+		go func(conn *grpc.ClientConn) {
+			defer c.done.Done()
+			outcome, value, err := c.call(ctx, conn, a)
+			cancel()
+			if err != nil {
+				c.opts.Log.Debug().Str("event", "attempt").Str("node", id).Err(err).Msg("an attempt was not served")
+			}
+			c.mu.Lock()
+			delete(c.calls, a.ID)
+			c.release(n)
+			c.mu.Unlock()
+			c.opts.Sink.Outcome(a.ID, outcome, value)
+		}(n.conn)
+	}
+}
+
+// release closes a node's connection with its last call once the node is no
+// longer listed, or is listed at another address.
+func (c *Client) release(n *node) {
+	n.out--
+	if n.out > 0 {
+		return
+	}
+	if c.nodes[n.id] != n {
+		c.hangUp(n)
+	} else if !n.listed {
+		c.hangUp(n)
+		delete(c.nodes, n.id)
+	}
+}
+
+// up waits for an open connection. Nothing has been sent before it is up.
+func (c *Client) up(ctx context.Context, conn *grpc.ClientConn) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout)
+	defer cancel()
+	for {
+		s := conn.GetState()
+		switch s {
+		case connectivity.Ready:
+			return nil
+		case connectivity.Idle:
+			conn.Connect()
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return fmt.Errorf("connection is in state %v", s)
+		}
+		if !conn.WaitForStateChange(ctx, s) {
+			return fmt.Errorf("connection not up: %w", ctx.Err())
+		}
+	}
+}
+
+// call makes one attempt. Until DoGet's stream is open nothing has run; from
+// then on only the node's own word, in the trailer, proves that it did not.
+func (c *Client) call(ctx context.Context, conn *grpc.ClientConn, a broker.Attempt) (decide.Outcome, []byte, error) {
+	ticket, err := flightwire.Encode(flightwire.PartTicket{
+		ID: fmt.Sprintf("%s.%d", a.Query, a.Shard), Partition: a.Shard, WaitMs: max(1, a.Wait.Milliseconds()),
+		Key: a.Key, Query: a.Text,
+	})
+	if err != nil {
+		return decide.NotSent, nil, err
+	}
+	if err := c.up(ctx, conn); err != nil {
+		return decide.Unreachable, nil, err
+	}
+	// The raw stream and not the client's DoGet, which hides whether an error
+	// came before the ticket left or after.
+	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/arrow.flight.protocol.FlightService/DoGet")
+	if err != nil {
+		return decide.Unreachable, nil, err
+	}
+	get := &grpc.GenericClientStream[flight.Ticket, flight.FlightData]{ClientStream: stream}
+	if err = get.SendMsg(ticket); err == nil {
+		err = get.CloseSend()
+	}
+	var values []broker.Value
+	if err == nil {
+		_, values, err = flightwire.ReadValues(get)
+	}
+	if err == nil && (len(values) != 1 || values[0].Shard != a.Shard) {
+		return decide.Failed, nil, fmt.Errorf("answer of %d parts, want the one of shard %d", len(values), a.Shard)
+	}
+	if err == nil {
+		return decide.OK, values[0].Data, nil
+	}
+	return outcome(err, stream.Trailer()), nil, err
+}
+
+// outcome classifies what ended a stream that had been opened.
+func outcome(err error, trailer metadata.MD) decide.Outcome {
+	if ends := trailer.Get(flightwire.EndKey); len(ends) == 1 && ends[0] == flightwire.EndFull {
+		return decide.Rejected
+	}
+	switch code(err) {
+	case codes.DeadlineExceeded:
+		return decide.TimedOut
+	case codes.Canceled:
+		return decide.Cancelled
+	case codes.Unavailable, codes.Unknown:
+		return decide.Broken
+	}
+	return decide.Failed
+}
+
+func code(err error) codes.Code {
+	var s interface{ GRPCStatus() *status.Status }
+	if errors.As(err, &s) {
+		return s.GRPCStatus().Code()
+	}
+	return codes.Unknown
+}
+
+// Cancel implements broker.NodeClient.
+func (c *Client) Cancel(_ string, id broker.AttemptID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cancel := c.calls[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// Probe implements broker.NodeClient: it asks for the node's actions, which
+// costs it next to nothing.
+func (c *Client) Probe(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.reach(id)
+	if n == nil {
+		c.opts.Sink.Probed(id, decide.Unreachable, 0)
+		return
+	}
+	n.out++
+	c.done.Add(1)
+	go func(conn *grpc.ClientConn) {
+		defer c.done.Done()
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 4*c.opts.ConnectTimeout)
+		defer cancel()
+		outcome := decide.OK
+		if err := c.up(ctx, conn); err != nil {
+			outcome = decide.Unreachable
+		} else if stream, err := flight.NewFlightServiceClient(conn).ListActions(ctx, &flight.Empty{}); err != nil {
+			outcome = decide.Failed
+		} else if _, err := stream.Recv(); err != nil && !errors.Is(err, io.EOF) { // no actions is an answer too
+			outcome = decide.Failed
+		}
+		c.mu.Lock()
+		c.release(n)
+		c.mu.Unlock()
+		c.opts.Sink.Probed(id, outcome, time.Since(start))
+	}(n.conn)
+}
+
+// CloseIdle implements broker.NodeClient.
+func (c *Client) CloseIdle(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := c.nodes[id]; n != nil && n.out == 0 {
+		c.hangUp(n)
+	}
+}
--- a/httpfront/codec.go
+++ b/httpfront/codec.go
@@ -12,16 +12,12 @@
 
 	"onyxsail/broker"
 	"onyxsail/internal/http1"
+	"onyxsail/internal/query"
 )
 
 // MaxBody is the largest body of a request.
 const MaxBody = 64 << 10
 
-const (
-	maxParts = 1024
-	maxName  = 128 // bytes of a request's id or key
-)
-
 // fault is a request that cannot be taken, with the status that says so.
 type fault struct {
 	status int
@@ -45,27 +41,8 @@
 	return http.StatusBadRequest
 }
 
-type target struct {
-	Partition *int     `json:"partition"`
-	Share     *float64 `json:"share"`
-	EstUs     *float64 `json:"est_us"`
-	Route     string   `json:"route"`
-}
-
-type body struct {
-	Targets []target `json:"targets"`
-	Query   *string  `json:"query"`
-}
-
-// Class is what the front knows of a class.
-type Class struct {
-	Name  string
-	Index int
-	Keyed bool
-}
-
 // decode turns a request into a query.
-func decode(m *http1.Message, classes map[string]Class, shards int, now time.Time) (*broker.Query, error) {
+func decode(m *http1.Message, classes map[string]query.Class, shards int, now time.Time) (*broker.Query, error) {
 	path, _, _ := strings.Cut(m.Target, "?")
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class, ok := classes[name]
@@ -79,8 +56,8 @@
 		return nil, bad("X-Class and the path name two classes")
 	}
 	q := &broker.Query{Name: m.Get("x-request-id"), Class: class.Index, Retry: m.Get("x-retry") == "1", Came: now}
-	if !plain(q.Name) {
-		return nil, bad("X-Request-Id: want 1 to %d letters, digits, '-' or '_'", maxName)
+	if err := query.CheckName("X-Request-Id", q.Name); err != nil {
+		return nil, bad("%v", err)
 	}
 	ms, err := strconv.ParseUint(m.Get("x-deadline-ms"), 10, 31)
 	if err != nil || ms == 0 {
@@ -88,62 +65,15 @@
 	}
 	q.Budget = time.Duration(ms) * time.Millisecond
 	if class.Keyed {
-		if q.Key = m.Get("idempotency-key"); !plain(q.Key) {
-			return nil, bad("Idempotency-Key: want 1 to %d letters, digits, '-' or '_'", maxName)
+		q.Key = m.Get("idempotency-key")
+		if err := query.CheckName("Idempotency-Key", q.Key); err != nil {
+			return nil, bad("%v", err)
 		}
 	}
-	return q, decodeBody(q, m.Body, shards)
-}
-
-func decodeBody(q *broker.Query, data []byte, shards int) error {
-	var b body
-	if err := json.Unmarshal(data, &b); err != nil {
-		return bad("body: %v", err)
-	}
-	if b.Query == nil {
-		return bad("query: missing")
-	}
-	if len(b.Targets) == 0 || len(b.Targets) > maxParts {
-		return bad("targets: %d of them, want 1 to %d", len(b.Targets), maxParts)
-	}
-	q.Text = []byte(*b.Query)
-	seen := make(map[int]bool, len(b.Targets))
-	for i, t := range b.Targets {
-		if t.Partition == nil || *t.Partition < 0 || shards > 0 && *t.Partition >= shards || seen[*t.Partition] {
-			return bad("targets[%d].partition: want a shard, each once", i)
-		}
-		if t.Share == nil || !(*t.Share >= 0 && *t.Share <= 1) {
-			return bad("targets[%d].share: want a number from 0 to 1", i)
-		}
-		seen[*t.Partition] = true
-		p := broker.Part{Shard: *t.Partition, Share: *t.Share}
-		if t.EstUs != nil {
-			if !(*t.EstUs >= 0 && *t.EstUs < 1e12) {
-				return bad("targets[%d].est_us: want microseconds", i)
-			}
-			p.WorkMs, p.Hinted = *t.EstUs/1000, true
-		}
-		if t.Route != "" {
-			route, err := strconv.ParseUint(t.Route, 16, 64)
-			if err != nil || len(t.Route) != 16 {
-				return bad("targets[%d].route: want 16 hex digits", i)
-			}
-			p.Route = route
-		}
-		q.Parts = append(q.Parts, p)
-	}
-	return nil
-}
-
-// plain says whether s can stand in a frame's line.
-func plain(s string) bool {
-	for i := range len(s) {
-		c := s[i]
-		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_') {
-			return false
-		}
+	if err := query.DecodeBody(q, m.Body, shards); err != nil {
+		return nil, bad("%v", err)
 	}
-	return s != "" && len(s) <= maxName
+	return q, nil
 }
 
 type result struct {
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -18,6 +18,7 @@
 	"onyxsail/broker"
 	"onyxsail/internal/http1"
 	"onyxsail/internal/netio"
+	"onyxsail/internal/query"
 )
 
 const (
@@ -38,7 +39,7 @@
 type Options struct {
 	Core     Core
 	Loop     *netio.Loop
-	Classes  map[string]Class
+	Classes  map[string]query.Class
 	Shards   int // 0: unknown
 	MaxConns int
 	Log      zerolog.Logger
