--- /dev/null
+++ b/daemon/rules_test.go
@@ -0,0 +1,386 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/config"
+	"onyxsail/daemon"
+	"onyxsail/internal/testkit"
+)
+
+// rig is a broker among stand-ins, reached through one kind of front.
+type rig struct {
+	d     *daemon.Daemon
+	disco *testkit.Discovery
+	nodes []*testkit.Node
+	ask   func(context.Context, testkit.Query) testkit.Reply
+	ids   atomic.Int64
+}
+
+// kinds are what every rule is tested on: the platform's protocol, Flight on
+// both sides, and queries whose parts go to both kinds of node.
+var kinds = []struct {
+	name   string
+	flight bool
+	node   func(i int) bool // whether node i speaks Flight
+}{
+	{"platform", false, func(int) bool { return false }},
+	{"flight", true, func(int) bool { return true }},
+	{"mixed", false, func(i int) bool { return i%2 == 1 }},
+}
+
+// each runs a rule's test on every kind. A rig has n nodes that hold all.
+func each(t *testing.T, n int, change func(map[string]any), test func(*testing.T, *rig)) {
+	for _, k := range kinds {
+		t.Run(k.name, func(t *testing.T) {
+			r := &rig{}
+			var list []testkit.Entry
+			for i := range n {
+				node := testkit.NewNode(t, fmt.Sprintf("s-%d", i), k.node(i))
+				r.nodes = append(r.nodes, node)
+				list = append(list, node.Entry())
+			}
+			r.disco = testkit.NewDiscovery(t, list...)
+			data := testkit.Config(r.disco.Addr, list, testkit.Settings(change), map[string]any{
+				"flight": map[string]any{"listen": "127.0.0.1:0"},
+			})
+			cfg, err := config.Parse(data, func(string) string { return "" })
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.d, err = daemon.Start(cfg, zerolog.New(io.Discard)); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				if err := r.d.Stop(context.Background()); err != nil {
+					t.Error(err)
+				}
+			})
+			r.ask = func(ctx context.Context, q testkit.Query) testkit.Reply {
+				if q.ID == "" {
+					q.ID = fmt.Sprintf("q%d", r.ids.Add(1))
+				}
+				if q.Within == 0 {
+					q.Within = 3 * time.Second
+				}
+				if k.flight {
+					return testkit.AskFlight(ctx, r.d.FlightAddr().String(), q)
+				}
+				return testkit.AskHTTP(ctx, r.d.Addr().String(), q)
+			}
+			test(t, r)
+		})
+	}
+}
+
+func (r *rig) all(end string) {
+	for _, n := range r.nodes {
+		n.Always(end)
+	}
+}
+
+func (r *rig) calls() (all []testkit.Call) {
+	for _, n := range r.nodes {
+		all = append(all, n.Calls()...)
+	}
+	return all
+}
+
+var six = []int{0, 3, 5, 7, 11, 17}
+
+func TestAnswerIsWholeAndOnce(t *testing.T) {
+	each(t, 4, nil, func(t *testing.T, r *rig) {
+		got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six})
+		if got.Kind != "served" || !got.Whole || len(got.Values) != len(six) {
+			t.Fatalf("got %+v", got)
+		}
+		used := map[string]bool{}
+		for _, s := range six {
+			if got.Values[s] != testkit.Value(s) {
+				t.Errorf("shard %d: %q", s, got.Values[s])
+			}
+		}
+		for _, n := range r.nodes {
+			for _, c := range n.Calls() {
+				used[n.ID] = true
+				if c.Text != "c41e77d0" || c.Wait <= 0 || c.Wait > 3*time.Second {
+					t.Errorf("call %+v", c)
+				}
+			}
+		}
+		if len(used) < 2 {
+			t.Errorf("parts went to %v only: the query was not split", used)
+		}
+	})
+}
+
+// An answer must come before the client's time is up, also when nothing does.
+func TestFinalAnswerInTime(t *testing.T) {
+	each(t, 4, nil, func(t *testing.T, r *rig) {
+		r.all(testkit.Silent)
+		got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six, Within: time.Second})
+		if got.Kind == "none" || got.Kind == "served" {
+			t.Fatalf("got %+v, want a final answer before the client's time is up", got)
+		}
+		if s := r.d.Stats(); s.Queries != 1 || s.Refused+s.Failed+s.Expired != 1 {
+			t.Errorf("stats %+v", s)
+		}
+	})
+}
+
+func TestThreeAttemptsAPart(t *testing.T) {
+	each(t, 5, nil, func(t *testing.T, r *rig) {
+		r.all(testkit.Fail)
+		if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: []int{4}}); got.Kind != "refused" {
+			t.Fatalf("got %+v", got)
+		}
+		if n := len(r.calls()); n < 2 || n > 3 {
+			t.Errorf("%d attempts of one part, want further ones and 3 at most", n)
+		}
+	})
+}
+
+// A part that may have run is repeated in a keyed class inside its window only.
+func TestKeyedRepeatsInsideWindow(t *testing.T) {
+	for window, want := range map[float64]int{1200: 2, 30: 1} {
+		each(t, 4, func(s map[string]any) {
+			s["classes"].([]any)[1].(map[string]any)["windowMs"] = window
+		}, func(t *testing.T, r *rig) {
+			var first atomic.Bool
+			for _, n := range r.nodes {
+				n.Work(func(testkit.Call) string {
+					if first.Swap(true) {
+						return testkit.Done
+					}
+					time.Sleep(60 * time.Millisecond) // past the short window, inside the long one
+					return testkit.Break
+				})
+			}
+			got := r.ask(context.Background(), testkit.Query{Class: "edit", Key: "k1", Shards: []int{2}})
+			calls := r.calls()
+			if len(calls) != want || (got.Kind == "served") != (want == 2) {
+				t.Fatalf("window %v ms: %d attempts, got %+v", window, len(calls), got)
+			}
+			for _, c := range calls {
+				if c.Key != "k1" {
+					t.Errorf("key %q", c.Key)
+				}
+			}
+		})
+	}
+}
+
+// A part of an unsafe class that may have run is neither repeated nor refused;
+// one that was turned away unseen is sent again.
+func TestUnsafeRepeatsOnlyWhatNeverRan(t *testing.T) {
+	for end, want := range map[string]string{testkit.Fail: "failed", testkit.Break: "failed", testkit.Full: "served"} {
+		each(t, 4, nil, func(t *testing.T, r *rig) {
+			var first atomic.Bool
+			for _, n := range r.nodes {
+				n.Work(func(testkit.Call) string {
+					if first.Swap(true) {
+						return testkit.Done
+					}
+					return end
+				})
+			}
+			got := r.ask(context.Background(), testkit.Query{Class: "order", Shards: []int{2}})
+			if n := len(r.calls()); got.Kind != want || (n > 1) != (want == "served") {
+				t.Fatalf("after %q: %d attempts, got %+v", end, n, got)
+			}
+		})
+	}
+}
+
+// A node that cannot be reached never ran the part: also an unsafe class goes
+// elsewhere.
+func TestUnreachableNeverRan(t *testing.T) {
+	each(t, 3, nil, func(t *testing.T, r *rig) {
+		for _, n := range r.nodes[1:] {
+			n.Stop()
+		}
+		for i := range 4 {
+			if got := r.ask(context.Background(), testkit.Query{Class: "order", Shards: []int{i}}); got.Kind != "served" {
+				t.Fatalf("got %+v", got)
+			}
+		}
+	})
+}
+
+// A stream that breaks in the middle of its answer is never a value.
+func TestBrokenAnswerIsNoValue(t *testing.T) {
+	each(t, 3, nil, func(t *testing.T, r *rig) {
+		r.nodes[0].Always(testkit.Break)
+		for i := range 6 {
+			got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: []int{i, i + 6}})
+			for s, v := range got.Values {
+				if v != testkit.Value(s) {
+					t.Fatalf("shard %d: %q came from a broken stream", s, v)
+				}
+			}
+		}
+		if len(r.nodes[0].Calls()) == 0 {
+			t.Fatal("the breaking node was never asked")
+		}
+	})
+}
+
+// No new work goes to a node later than 500 ms after its drain was told.
+func TestDrainIsKept(t *testing.T) {
+	each(t, 3, nil, func(t *testing.T, r *rig) {
+		e := r.nodes[0].Entry()
+		e.State = "terminating"
+		version := r.disco.Change(e)
+		testkit.Eventually(t, "the drain is told", func() bool { return !r.disco.Told(version).IsZero() })
+		limit := r.disco.Told(version).Add(500 * time.Millisecond)
+		for i := 0; i < 20 || time.Now().Before(limit.Add(100*time.Millisecond)); i++ {
+			if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six}); got.Kind != "served" {
+				t.Fatalf("got %+v", got)
+			}
+		}
+		for _, c := range r.nodes[0].Calls() {
+			if c.At.After(limit) {
+				t.Fatalf("a part was sent %v after the drain was told", c.At.Sub(limit)+500*time.Millisecond)
+			}
+		}
+	})
+}
+
+// A node that has just started gets its share little by little.
+func TestColdNodeIsSpared(t *testing.T) {
+	each(t, 3, nil, func(t *testing.T, r *rig) {
+		e := r.nodes[0].Entry()
+		e.Started = time.Now().UnixMilli()
+		version := r.disco.Change(e)
+		testkit.Eventually(t, "the start is told", func() bool { return !r.disco.Told(version).IsZero() })
+		testkit.Eventually(t, "the start is taken in", func() bool { return r.d.Stats().Turns > 0 })
+		before := len(r.nodes[0].Calls())
+		var wg sync.WaitGroup
+		for range 10 { // a burst beyond what any warm node could be sent of late
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six})
+			}()
+		}
+		wg.Wait()
+		cold, all := len(r.nodes[0].Calls())-before, len(r.calls())
+		if all < 30 || cold*6 > all {
+			t.Fatalf("%d of %d parts went to the cold node, want under half an even share", cold, all)
+		}
+	})
+}
+
+// A partial answer is given where the class allows it, never called whole, and
+// never given from less than the least share.
+func TestPartialAnswerIsHonest(t *testing.T) {
+	each(t, 4, nil, func(t *testing.T, r *rig) {
+		for _, n := range r.nodes {
+			n.Work(func(c testkit.Call) string {
+				if c.Shard == 5 {
+					return testkit.Fail
+				}
+				return testkit.Done
+			})
+		}
+		got := r.ask(context.Background(), testkit.Query{Class: "part", Shards: []int{1, 2, 3, 5}})
+		if got.Kind != "served" || got.Whole || len(got.Values) != 3 {
+			t.Errorf("class with a floor: got %+v", got)
+		}
+		if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: []int{1, 2, 3, 5}}); got.Kind != "refused" {
+			t.Errorf("class that needs all: got %+v", got)
+		}
+	})
+}
+
+// What is given up is answered at once, with the hint that the module gave.
+func TestGivenUpIsToldAtOnce(t *testing.T) {
+	each(t, 3, nil, func(t *testing.T, r *rig) {
+		r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six}) // teaches usual times
+		r.all(testkit.Full)
+		got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: []int{4}, Within: 15 * time.Second})
+		if got.Kind != "refused" || got.RetryAfter <= 0 {
+			t.Fatalf("got %+v, want a refusal with a hint", got)
+		}
+		if s := r.d.Stats(); s.Open != 0 {
+			t.Errorf("stats %+v", s)
+		}
+	})
+}
+
+// What the broker has no room for is refused before it is taken in.
+func TestFullBrokerRefuses(t *testing.T) {
+	each(t, 3, func(s map[string]any) { s["caps"].(map[string]any)["maxOpen"] = 7 }, func(t *testing.T, r *rig) {
+		r.all(testkit.Silent)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan testkit.Reply, 1)
+		go func() { done <- r.ask(ctx, testkit.Query{Class: "screen", Shards: six}) }()
+		testkit.Eventually(t, "the first query is held", func() bool { return r.d.Stats().Open == 1 })
+		if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: []int{1}}); got.Kind != "refused" {
+			t.Errorf("got %+v", got)
+		}
+		cancel()
+		<-done
+		testkit.Eventually(t, "the query of the client that left is dropped", func() bool { return r.d.Stats().Open == 0 })
+	})
+}
+
+// A client that leaves ends its query, and its parts are given up.
+func TestClientLeaves(t *testing.T) {
+	each(t, 2, nil, func(t *testing.T, r *rig) {
+		r.all(testkit.Silent)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan testkit.Reply, 1)
+		go func() { done <- r.ask(ctx, testkit.Query{Class: "screen", Shards: []int{1, 2}}) }()
+		testkit.Eventually(t, "both parts are out", func() bool { return len(r.calls()) >= 2 })
+		cancel()
+		<-done
+		testkit.Eventually(t, "both parts are given up", func() bool {
+			return len(r.nodes[0].GivenUp())+len(r.nodes[1].GivenUp()) >= 2
+		})
+		if s := r.d.Stats(); s.Left != 1 || s.Open != 0 {
+			t.Errorf("stats %+v", s)
+		}
+	})
+}
+
+// A straggler gets one copy at another node while the original stays out, and
+// the twin that loses is called off.
+func TestStragglerIsCopied(t *testing.T) {
+	each(t, 4, nil, func(t *testing.T, r *rig) {
+		for i := range 30 { // times to judge a straggler by
+			r.ask(context.Background(), testkit.Query{Class: "screen", Shards: []int{i % 18, (i + 5) % 18}})
+		}
+		r.nodes[0].Always(testkit.Silent)
+		testkit.Eventually(t, "the silent node is asked", func() bool {
+			if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six}); got.Kind == "none" {
+				t.Errorf("got %+v", got)
+			}
+			return len(r.nodes[0].GivenUp()) > 0
+		})
+	})
+}
+
+func TestInvalidQueries(t *testing.T) {
+	each(t, 1, nil, func(t *testing.T, r *rig) {
+		for _, q := range []testkit.Query{
+			{Class: "nothing", Shards: []int{1}}, {Class: "screen"}, {Class: "screen", Shards: []int{18}},
+			{Class: "screen", Shards: []int{1, 1}}, {Class: "edit", Shards: []int{1}}, {Class: "screen", ID: "a b", Shards: []int{1}},
+		} {
+			if got := r.ask(context.Background(), q); got.Kind != "invalid" {
+				t.Errorf("%+v: got %+v", q, got)
+			}
+		}
+		if s := r.d.Stats(); s.Queries != 0 {
+			t.Errorf("stats %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/testkit/rig.go
@@ -0,0 +1,339 @@
+package testkit
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"onyxsail/internal/flightwire"
+)
+
+// patience is how long a test waits for what must come; only a failing test
+// waits that long.
+const patience = 20 * time.Second
+
+// ---- Discovery
+
+// Entry is one line of the list.
+type Entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+// Discovery is a stand-in for the agent.
+type Discovery struct {
+	Addr string
+
+	mu      sync.Mutex
+	version int
+	list    []Entry
+	logged  []Entry // the change that made each version
+	changed chan struct{}
+	told    map[int]time.Time // when a version was first written to a broker
+	calls   []string
+}
+
+// NewDiscovery starts discovery with a list.
+func NewDiscovery(t testing.TB, list ...Entry) *Discovery {
+	t.Helper()
+	d := &Discovery{version: 1, list: list, logged: make([]Entry, 2), changed: make(chan struct{}), told: map[int]time.Time{}}
+	s := httptest.NewServer(d)
+	d.Addr = strings.TrimPrefix(s.URL, "http://")
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return d
+}
+
+// ServeHTTP answers fetches and watches.
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, watch := r.URL.Query().Get("after"), r.URL.Query().Get("wait_ms")
+	d.mu.Lock()
+	d.calls = append(d.calls, r.URL.String())
+	seen, _ := strconv.Atoi(after)
+	for watch != "" && d.version <= seen {
+		changed := d.changed
+		d.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+		d.mu.Lock()
+	}
+	out := map[string]any{"version": d.version, "full": after == "", "servers": d.list}
+	if after != "" {
+		out["servers"] = d.logged[seen+1:]
+	}
+	version := d.version
+	d.mu.Unlock()
+	data, err := json.Marshal(out)
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.Write(data) // the broker may have gone
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.told[version].IsZero() {
+		d.told[version] = time.Now()
+	}
+}
+
+// Change tells one entry anew.
+func (d *Discovery) Change(e Entry) (version int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	kept := d.list[:0:0]
+	for _, x := range d.list {
+		if x.ID != e.ID {
+			kept = append(kept, x)
+		}
+	}
+	if e.State != "terminated" {
+		kept = append(kept, e)
+	}
+	d.list, d.logged, d.version = kept, append(d.logged, e), d.version+1
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return d.version
+}
+
+// Told says when a version was written to a broker.
+func (d *Discovery) Told(version int) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told[version]
+}
+
+// Calls returns the calls so far.
+func (d *Discovery) Calls() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.calls...)
+}
+
+// Entry is the line of a node in service.
+func (n *Node) Entry() Entry {
+	return Entry{ID: n.ID, Addr: n.Addr, Zone: "neihu", Kind: "std-2c", Cell: n.Cell, State: "in_service", Weight: 1}
+}
+
+// ---- Clients
+
+// Query is what a client asks.
+type Query struct {
+	Class, ID, Key string
+	Shards         []int
+	Within         time.Duration
+}
+
+// Reply is what a client got.
+type Reply struct {
+	Kind       string // served, refused, failed, expired, invalid or none
+	Whole      bool
+	Values     map[int]string
+	RetryAfter time.Duration
+	Took       time.Duration
+}
+
+func (q *Query) body() map[string]any {
+	targets := []map[string]any{}
+	for _, s := range q.Shards {
+		targets = append(targets, map[string]any{"partition": s, "share": 1 / float64(len(q.Shards)), "est_us": 9000})
+	}
+	return map[string]any{"targets": targets, "query": "c41e77d0"}
+}
+
+// AskHTTP asks on the platform's protocol.
+func AskHTTP(ctx context.Context, addr string, q Query) Reply {
+	body, err := json.Marshal(q.body())
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.Within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+q.Class, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("X-Request-Id", q.ID)
+	req.Header.Set("X-Class", q.Class)
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.Within.Milliseconds(), 10))
+	if q.Key != "" {
+		req.Header.Set("Idempotency-Key", q.Key)
+	}
+	start := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Reply{Kind: "none"}
+	}
+	defer res.Body.Close()
+	r := Reply{Kind: "failed", Values: map[int]string{}}
+	switch res.StatusCode {
+	case http.StatusOK:
+		var a struct {
+			Whole   bool
+			Results []struct {
+				Partition int
+				Value     string
+			}
+		}
+		if json.NewDecoder(res.Body).Decode(&a) != nil {
+			return Reply{Kind: "none"}
+		}
+		r.Kind, r.Whole = "served", a.Whole
+		for _, x := range a.Results {
+			r.Values[x.Partition] = x.Value
+		}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		r.Kind = "refused"
+		if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
+			r.RetryAfter = time.Duration(s * float64(time.Second))
+		}
+	case http.StatusGatewayTimeout:
+		r.Kind = "expired"
+	case http.StatusBadRequest, http.StatusNotFound:
+		r.Kind = "invalid"
+	}
+	r.Took = time.Since(start)
+	return r
+}
+
+// AskFlight asks in Arrow Flight.
+func AskFlight(ctx context.Context, addr string, q Query) Reply {
+	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	body := q.body()
+	body["id"], body["class"], body["key"] = q.ID, q.Class, q.Key
+	ticket, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.Within)
+	defer cancel()
+	start := time.Now()
+	r := Reply{Values: map[int]string{}}
+	stream, err := flight.NewClientFromConn(conn, nil).DoGet(ctx, &flight.Ticket{Ticket: ticket})
+	if err == nil {
+		whole, values, rerr := flightwire.ReadValues(stream)
+		err, r.Whole = rerr, whole
+		for _, v := range values {
+			r.Values[v.Shard] = string(v.Data)
+		}
+	}
+	r.Took = time.Since(start)
+	var s interface{ GRPCStatus() *status.Status }
+	switch {
+	case err == nil:
+		r.Kind = "served"
+	case ctx.Err() != nil || !errors.As(err, &s):
+		r.Kind = "none"
+	default:
+		r.Kind = map[codes.Code]string{
+			codes.Unavailable: "refused", codes.Aborted: "failed", codes.DeadlineExceeded: "expired",
+			codes.InvalidArgument: "invalid", codes.NotFound: "invalid",
+		}[s.GRPCStatus().Code()]
+		for _, d := range s.GRPCStatus().Details() {
+			if info, ok := d.(*errdetails.RetryInfo); ok {
+				r.RetryAfter = info.GetRetryDelay().AsDuration()
+			}
+		}
+	}
+	return r
+}
+
+// ---- Configuration
+
+// Settings are those of a small deployment in which each node holds all
+// shards; change edits them.
+func Settings(change func(map[string]any)) map[string]any {
+	class := func(name, kind string, windowMs float64) map[string]any {
+		return map[string]any{"name": name, "objectiveMs": 1500.0, "deadlineMs": 3000.0, "idempotency": kind,
+			"windowMs": windowMs, "worth": 1.0, "lateShare": 0.1}
+	}
+	s := map[string]any{
+		"balancers": 1, "index": 0, "tickMs": 5.0, "myZone": 0, "discovery": "pushed",
+		"zones": []string{"neihu", "banqiao"}, "kinds": []string{"std-2c"},
+		"classes": []any{class("screen", "safe", 5000), class("edit", "keyed", 1200), class("order", "unsafe", 0),
+			class("part", "safe", 5000)},
+		"caps": map[string]any{"cancel": true, "maxAttempts": 3, "maxOpen": 356, "maxRetryAfterMs": 2000.0,
+			"retryAfter": true, "secondCopies": true, "streamsPerConn": 32, "connectTimeoutMs": 250.0,
+			"connIdleMs": 30000.0, "probes": true},
+		"domain": map[string]any{"cells": 1, "inARow": 1, "ranges": 18, "bundleMax": 1,
+			"needByClass": []float64{1, 1, 1, 1}, "minShare": []float64{1, 1, 1, 0.5}, "partialEarns": []float64{0.9, 0.9, 0.9, 0.9}},
+		"safety": map[string]any{"graceToAnswerMs": 20.0, "drainGraceMs": 500.0, "coldFrom": 0.18, "coldMs": 15000.0,
+			"fallMs": 2000.0, "fallMultiple": 3.0},
+		"penalties": map[string]any{"crossZone": 0.008},
+	}
+	if change != nil {
+		change(s)
+	}
+	return s
+}
+
+// Config renders a broker's configuration; extra fields are added to it.
+func Config(discovery string, known []Entry, settings map[string]any, extra map[string]any) []byte {
+	c := map[string]any{
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"version": 1, "full": true, "servers": known},
+		"settings": settings, "hand_over_ms": 50, "log_level": "warn",
+	}
+	for k, v := range extra {
+		c[k] = v
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(fmt.Sprintf("rendering a configuration: %v", err))
+	}
+	return data
+}
+
+// WriteFile puts data into a file of the test's own.
+func WriteFile(t testing.TB, data []byte) string {
+	t.Helper()
+	path := t.TempDir() + "/config.json"
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Eventually returns once ok holds.
+func Eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
