--- a/cli/cli.go
+++ b/cli/cli.go
@@ -38,7 +38,7 @@
 	root.SetErr(errs)
 	var path string
 	root.PersistentFlags().StringVar(&path, "config", "", "configuration file (default: the one NODE_CONFIG names)")
-	root.AddCommand(serveCmd(&path), versionCmd(), checkCmd(&path))
+	root.AddCommand(serveCmd(&path), versionCmd(), checkCmd(&path), configCmd(&path), statusCmd(&path))
 	return root
 }
 
@@ -52,11 +52,7 @@
 			if err != nil {
 				return err
 			}
-			level, err := zerolog.ParseLevel(cfg.LogLevel)
-			if err != nil || cfg.LogLevel == "" {
-				level = zerolog.InfoLevel
-			}
-			log := zerolog.New(cmd.ErrOrStderr()).Level(level).With().Timestamp().Logger()
+			log := zerolog.New(cmd.ErrOrStderr()).With().Timestamp().Logger()
 			daemon.TuneRuntime(cfg.Limits)
 			d, err := daemon.Start(cfg, log)
 			if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +26,7 @@
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
 	"onyxsail/nodeclient"
+	"onyxsail/store"
 )
 
 const (
@@ -42,6 +45,10 @@
 	remote *flightnode.Client
 	front  *httpfront.Front
 	flight *flightfront.Front // nil: off
+	store  *store.Store       // nil: off
+	level  *level
+	window atomic.Int64 // of the hand-over, in nanoseconds
+	seen   *roster
 	cancel context.CancelFunc // of the roster
 	stop   context.CancelFunc // of the core
 	wg     sync.WaitGroup
@@ -80,7 +87,15 @@
 	if sockets == 0 {
 		sockets = defaultSockets
 	}
-	d := &Daemon{cfg: cfg, log: log, loop: loop}
+	lev := &level{}
+	if l, err := zerolog.ParseLevel(cfg.LogLevel); err == nil && cfg.LogLevel != "" {
+		lev.least.Store(int32(l))
+	} else {
+		lev.least.Store(int32(zerolog.InfoLevel))
+	}
+	log = log.Sample(lev)
+	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev}
+	d.window.Store(int64(cfg.HandOver))
 	s := &sink{}
 	d.nodes = nodeclient.New(nodeclient.Options{
 		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
@@ -95,8 +110,19 @@
 		Limits: broker.Limits{MaxOpen: cfg.Settings.MaxOpen},
 	})
 	s.core = d.core
+	d.seen = &roster{core: d.core, nodes: map[string]broker.Node{}}
+	if cfg.Store != nil {
+		if err := d.openStore(); err != nil {
+			d.abort()
+			return nil, err
+		}
+	}
 	if cfg.Known != nil {
-		d.core.Roster(broker.Roster{Kind: decide.ListCached, Version: cfg.Known.Version, Nodes: cfg.Known.Nodes})
+		d.seen.deliver(broker.Roster{Kind: decide.ListCached, Version: cfg.Known.Version, Nodes: cfg.Known.Nodes})
+	} else if d.store != nil { // the last list that the group had, maybe old
+		if last := d.store.State().Roster; len(last.Nodes) > 0 {
+			d.seen.deliver(broker.Roster{Kind: decide.ListCached, Version: last.Version, Nodes: last.Nodes})
+		}
 	}
 	var run, follow context.Context
 	run, d.stop = context.WithCancel(context.Background())
@@ -108,6 +134,7 @@
 	if err == nil && cfg.Flight != nil {
 		d.flight, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
 			Core: d.core, Classes: classes(cfg), Shards: cfg.Settings.Shards, MaxConns: sockets / 8, Log: log,
+			Actions: d.actions(),
 		})
 	}
 	if err != nil {
@@ -122,7 +149,7 @@
 	go func() {
 		defer d.wg.Done()
 		discovery.New(discovery.Options{
-			Addr: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds, Deliver: d.core.Roster, Log: log,
+			Addr: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds, Deliver: d.seen.deliver, Log: log,
 		}).Run(follow)
 	}()
 	d.front.SetReady(true)
@@ -133,6 +160,9 @@
 
 // abort undoes a start that failed half way.
 func (d *Daemon) abort() {
+	if d.store != nil {
+		_ = d.store.Close() // the failed start is the error that counts
+	}
 	if d.front != nil {
 		over, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -168,10 +198,11 @@
 // Stop takes new connections through the hand-over window, answers all that
 // was taken and ends.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.log.Info().Str("event", "draining").Dur("window", d.cfg.HandOver).Msg("told to stop")
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.HandOver+drainWithin)
+	window := time.Duration(d.window.Load())
+	d.log.Info().Str("event", "draining").Dur("window", window).Msg("told to stop")
+	ctx, cancel := context.WithTimeout(ctx, window+drainWithin)
 	defer cancel()
-	d.front.Drain(ctx, d.cfg.HandOver)
+	d.front.Drain(ctx, window)
 	if d.flight != nil {
 		d.flight.Drain(ctx)
 	}
@@ -182,12 +213,15 @@
 	d.nodes.Close()
 	d.remote.Close()
 	d.loop.Stop()
+	if d.store != nil {
+		err = errors.Join(err, d.store.Close())
+	}
 	s := d.core.Stats()
 	d.log.Info().Str("event", "stopped").Int64("queries", s.Queries).Int64("served", s.Served).
 		Int64("refused", s.Refused).Int64("failed", s.Failed).Int64("expired", s.Expired).Int64("left", s.Left).
 		Int64("attempts", s.Attempts).Int64("turns", s.Turns).Msg("stopped")
 	if err != nil {
-		return fmt.Errorf("draining: %w", err)
+		return fmt.Errorf("stopping: %w", err)
 	}
 	return nil
 }
--- /dev/null
+++ b/store/state.go
@@ -0,0 +1,170 @@
+// Package store is the daemon's own replicated store: a versioned
+// configuration and the last roster, kept by Raft among a few instances.
+// Load and health of nodes are no part of it: brokers share neither.
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/hashicorp/raft"
+
+	"onyxsail/broker"
+)
+
+// Config is what operators may change while the brokers run.
+type Config struct {
+	Version    uint64 `json:"version"`
+	QueueLimit int    `json:"queue_limit"` // inputs that may wait for a turn
+	MaxOpen    int    `json:"max_open"`    // queries and parts held; 0: the settings' figure
+	LogLevel   string `json:"log_level"`
+	HandOverMs int    `json:"hand_over_ms"`
+}
+
+// Defaults is the configuration before any was set.
+func Defaults() Config {
+	return Config{QueueLimit: 4096, LogLevel: "info", HandOverMs: 550}
+}
+
+// Patch is a change of some fields. With IfVersion, it takes effect only on
+// that version.
+type Patch struct {
+	IfVersion  *uint64 `json:"if_version,omitempty"`
+	QueueLimit *int    `json:"queue_limit,omitempty"`
+	MaxOpen    *int    `json:"max_open,omitempty"`
+	LogLevel   *string `json:"log_level,omitempty"`
+	HandOverMs *int    `json:"hand_over_ms,omitempty"`
+}
+
+// ErrInvalid marks a change that can never be taken.
+var ErrInvalid = errors.New("invalid configuration")
+
+// ErrConflict marks a change made against another version.
+var ErrConflict = errors.New("the configuration has another version")
+
+// Validate checks the fields that the patch sets.
+func (p *Patch) Validate() error {
+	check := func(field string, v *int, low, high int) error {
+		if v != nil && (*v < low || *v > high) {
+			return fmt.Errorf("%w: %s: got %d, want %d to %d", ErrInvalid, field, *v, low, high)
+		}
+		return nil
+	}
+	if p.QueueLimit == nil && p.MaxOpen == nil && p.LogLevel == nil && p.HandOverMs == nil {
+		return fmt.Errorf("%w: no field is set", ErrInvalid)
+	}
+	if p.LogLevel != nil {
+		switch *p.LogLevel {
+		case "debug", "info", "warn", "error":
+		default:
+			return fmt.Errorf("%w: log_level: got %q, want debug, info, warn or error", ErrInvalid, *p.LogLevel)
+		}
+	}
+	return errors.Join(check("queue_limit", p.QueueLimit, 16, 1<<16), check("max_open", p.MaxOpen, 0, 1<<20),
+		check("hand_over_ms", p.HandOverMs, 0, 10000))
+}
+
+func (p *Patch) apply(c Config) Config {
+	set(&c.QueueLimit, p.QueueLimit)
+	set(&c.MaxOpen, p.MaxOpen)
+	set(&c.LogLevel, p.LogLevel)
+	set(&c.HandOverMs, p.HandOverMs)
+	c.Version++
+	return c
+}
+
+func set[T any](to *T, v *T) {
+	if v != nil {
+		*to = *v
+	}
+}
+
+// Roster is the list of nodes as the leader's broker last had it.
+type Roster struct {
+	Version int64         `json:"version"`
+	Nodes   []broker.Node `json:"nodes"`
+}
+
+// State is all that the store holds.
+type State struct {
+	Config Config `json:"config"`
+	Roster Roster `json:"roster"`
+}
+
+// command is one entry of the log: one of the fields is set.
+type command struct {
+	Patch  *Patch  `json:"patch,omitempty"`
+	Roster *Roster `json:"roster,omitempty"`
+}
+
+// machine is the state machine that Raft drives.
+type machine struct {
+	mu      sync.Mutex
+	state   State
+	changed func(State)
+}
+
+func (m *machine) get() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+func (m *machine) put(s State) {
+	m.mu.Lock()
+	m.state = s
+	m.mu.Unlock()
+	m.changed(s)
+}
+
+// Apply implements raft.FSM. It must come to the same result on every
+// instance, so a command is judged by the state alone.
+func (m *machine) Apply(l *raft.Log) any {
+	var c command
+	if err := json.Unmarshal(l.Data, &c); err != nil {
+		return fmt.Errorf("log entry %d: %w", l.Index, err)
+	}
+	s := m.get()
+	switch {
+	case c.Patch != nil:
+		if v := c.Patch.IfVersion; v != nil && *v != s.Config.Version {
+			return fmt.Errorf("%w: %d, not %d", ErrConflict, s.Config.Version, *v)
+		}
+		s.Config = c.Patch.apply(s.Config)
+	case c.Roster != nil:
+		s.Roster = *c.Roster
+	}
+	m.put(s)
+	return s
+}
+
+// Snapshot implements raft.FSM.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) { return snapshot(m.get()), nil }
+
+// Restore implements raft.FSM.
+func (m *machine) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	var s State
+	if err := json.NewDecoder(r).Decode(&s); err != nil {
+		return fmt.Errorf("reading a snapshot: %w", err)
+	}
+	m.put(s)
+	return nil
+}
+
+type snapshot State
+
+// Persist implements raft.FSMSnapshot.
+func (s snapshot) Persist(to raft.SnapshotSink) error {
+	if err := json.NewEncoder(to).Encode(State(s)); err != nil {
+		_ = to.Cancel()
+		return fmt.Errorf("writing a snapshot: %w", err)
+	}
+	return to.Close()
+}
+
+// Release implements raft.FSMSnapshot.
+func (snapshot) Release() {}
