--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,96 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestMessages(t *testing.T) {
+	big := strings.Repeat("x", MaxHead)
+	for _, c := range []struct {
+		name, in string
+		answers  bool
+		want     []string // "METHOD TARGET BODY" or "STATUS BODY" of each message
+		err      error
+		close    bool
+	}{
+		{name: "no body", in: "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", want: []string{"GET /ready "}},
+		{name: "length", in: "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", want: []string{"POST /a hello"}},
+		{name: "bare line feeds", in: "POST /a HTTP/1.1\nContent-Length: 2\n\nhi", want: []string{"POST /a hi"}},
+		{name: "chunked", in: "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: v\r\n\r\n",
+			want: []string{"POST /a abc0123456789"}},
+		{name: "pipelined", in: "POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET /b HTTP/1.1\r\n\r\n",
+			want: []string{"POST /a x", "GET /b "}},
+		{name: "blank lines ahead", in: "\r\n\r\nGET / HTTP/1.1\r\n\r\n", want: []string{"GET / "}},
+		{name: "close", in: "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", want: []string{"GET / "}, close: true},
+		{name: "old version closes", in: "GET / HTTP/1.0\r\n\r\n", want: []string{"GET / "}, close: true},
+		{name: "old version kept", in: "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", want: []string{"GET / "}},
+		{name: "same length twice", in: "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx", want: []string{"POST / x"}},
+		{name: "two lengths", in: "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", err: ErrMalformed},
+		{name: "length and chunks", in: "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", err: ErrMalformed},
+		{name: "unknown coding", in: "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", err: ErrMalformed},
+		{name: "signed length", in: "POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx", err: ErrMalformed},
+		{name: "body over the bound", in: "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", err: ErrBodySize},
+		{name: "chunks over the bound", in: "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", err: ErrBodySize},
+		{name: "chunk size no number", in: "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n", err: ErrMalformed},
+		{name: "chunk longer than told", in: "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", err: ErrMalformed},
+		{name: "head too large", in: "GET / HTTP/1.1\r\nA: " + big, err: ErrHeadSize},
+		{name: "too many headers", in: "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxHeaders+1) + "\r\n", err: ErrHeadSize},
+		{name: "no version", in: "GET /\r\n\r\n", err: ErrMalformed},
+		{name: "another version", in: "GET / HTTP/2.0\r\n\r\n", err: ErrMalformed},
+		{name: "space before the colon", in: "GET / HTTP/1.1\r\nA : b\r\n\r\n", err: ErrMalformed},
+		{name: "folded header", in: "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", err: ErrMalformed},
+		{name: "answer", in: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", answers: true, want: []string{"200 ok"}},
+		{name: "answer without reason", in: "HTTP/1.1 204\r\n\r\n", answers: true, want: []string{"204 "}},
+		{name: "answer without body", in: "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", answers: true,
+			want: []string{"204 ", "200 "}},
+		{name: "answer until the end", in: "HTTP/1.1 200 OK\r\n\r\nall", answers: true, want: []string{"200 all"}, close: true},
+		{name: "no answer", in: "SSH-2.0\r\n\r\n", answers: true, err: ErrMalformed},
+	} {
+		for _, step := range []int{1, 7, len(c.in)} { // however the stream is cut
+			p := Parser{MaxBody: 64 << 10, Answers: c.answers}
+			var got []string
+			var err error
+			closes := false
+			take := func(m *Message) {
+				if text := m.Method + " " + m.Target + " " + string(m.Body); !c.answers {
+					got = append(got, text)
+				} else {
+					got = append(got, fmt.Sprintf("%d %s", m.Status, m.Body))
+				}
+				closes = closes || m.Close
+			}
+			for rest := c.in; rest != "" && err == nil; {
+				n := min(step, len(rest))
+				p.Feed([]byte(rest[:n]))
+				rest = rest[n:]
+				for {
+					var m *Message
+					if m, err = p.Next(); m == nil || err != nil {
+						break
+					}
+					take(m)
+				}
+			}
+			if m, end := p.End(); err == nil && end == nil && m != nil {
+				take(m)
+			}
+			if !errors.Is(err, c.err) || strings.Join(got, "|") != strings.Join(c.want, "|") || closes != c.close {
+				t.Errorf("%s, %d bytes at a time: got %q close %v err %v", c.name, step, got, closes, err)
+			}
+		}
+	}
+}
+
+func TestStreamEndsInsideMessage(t *testing.T) {
+	p := Parser{MaxBody: 10}
+	p.Feed([]byte("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel"))
+	if m, err := p.Next(); m != nil || err != nil {
+		t.Fatal(m, err)
+	}
+	if _, err := p.End(); !errors.Is(err, ErrMalformed) {
+		t.Errorf("got %v", err)
+	}
+}
