--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,89 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/testkit"
+)
+
+func TestParseList(t *testing.T) {
+	zones, kinds := []string{"neihu", "banqiao"}, []string{"std-2c"}
+	for _, c := range []struct{ in, fault string }{
+		{`{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"banqiao","kind":"std-2c","cell":2,"state":"terminating","weight":1.5,"started_ms":1500}]}`, ""},
+		{`{"version":1,"full":false,"servers":[]}`, ""},
+		{`{"version":1,"full":false,"servers":[{"id":"a","zone":"neihu","state":"terminated"}]}`, ""},
+		{`{"version":1,"full":true,"servers":[{"id":"a","addr":"grpc+tcp://127.0.0.1:1","zone":"neihu","state":"in_service"}]}`, ""},
+		{`{"full":true}`, "version"}, {`[`, "list"},
+		{`{"version":1,"full":true,"servers":[{"id":"","addr":"127.0.0.1:1","zone":"neihu","state":"in_service"}]}`, "servers[0].id"},
+		{`{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1","zone":"neihu","state":"in_service"}]}`, "servers[0].addr"},
+		{`{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"x","state":"in_service"}]}`, "servers[0].zone"},
+		{`{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"neihu","state":"up"}]}`, "servers[0].state"},
+	} {
+		l, err := ParseList([]byte(c.in), zones, kinds)
+		if (err != nil) != (c.fault != "") || err != nil && !strings.Contains(err.Error(), c.fault) {
+			t.Errorf("%s: got %v", c.in, err)
+		} else if err == nil && len(l.Nodes) == 1 && l.Nodes[0].Weight == 1.5 {
+			n := l.Nodes[0]
+			if n.Zone != 1 || n.Cell != 2 || n.State != decide.Draining || !n.Started.Equal(time.UnixMilli(1500)) {
+				t.Errorf("decoded %+v", n)
+			}
+		}
+	}
+}
+
+// The whole list comes first, then each change, on a watch that asks for what
+// is newer than the last answer.
+func TestFollow(t *testing.T) {
+	n := testkit.NewNode(t, "s-1", false)
+	d := testkit.NewDiscovery(t, n.Entry())
+	var mu sync.Mutex
+	var got []broker.Roster
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		New(Options{Addr: d.Addr, Zones: []string{"neihu"}, Log: zerolog.New(io.Discard), Deliver: func(r broker.Roster) {
+			mu.Lock()
+			defer mu.Unlock()
+			got = append(got, r)
+		}}).Run(ctx)
+	}()
+	count := func(n int) func() bool {
+		return func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(got) == n
+		}
+	}
+	testkit.Eventually(t, "the whole list", count(1))
+	testkit.Eventually(t, "a watch", func() bool { return len(d.Calls()) == 2 })
+	e := n.Entry()
+	e.State = "terminating"
+	d.Change(e)
+	testkit.Eventually(t, "the drain", count(2))
+	e.State = "terminated"
+	d.Change(e)
+	testkit.Eventually(t, "the end", count(3))
+	cancel()
+	<-ended
+	for i, want := range []struct {
+		kind  decide.ListKind
+		state decide.State
+	}{{decide.ListFull, decide.Ready}, {decide.ListDelta, decide.Draining}, {decide.ListDelta, decide.Gone}} {
+		if r := got[i]; r.Kind != want.kind || len(r.Nodes) != 1 || r.Nodes[0].State != want.state || r.Version != int64(i+1) {
+			t.Errorf("news %d: %+v", i, r)
+		}
+	}
+	if calls := d.Calls(); calls[0] != "/v1/endpoints" || !strings.Contains(calls[1], "after=1") || !strings.Contains(calls[2], "after=2") {
+		t.Errorf("calls %q", calls)
+	}
+}
