--- /dev/null
+++ b/broker/broker_test.go
@@ -0,0 +1,184 @@
+package broker
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/decide"
+)
+
+// fakeNodes records what the core asks of its nodes.
+type fakeNodes struct {
+	mu        sync.Mutex
+	sent      []Attempt
+	cancelled []AttemptID
+	seen      chan struct{}
+}
+
+func (f *fakeNodes) Send(_ string, calls []Attempt) {
+	f.mu.Lock()
+	f.sent = append(f.sent, calls...)
+	f.mu.Unlock()
+	f.seen <- struct{}{}
+}
+
+func (f *fakeNodes) Cancel(_ string, id AttemptID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, id)
+}
+func (f *fakeNodes) Probe(string)     {}
+func (f *fakeNodes) CloseIdle(string) {}
+func (f *fakeNodes) Update([]Node)    {}
+
+type replies chan Reply
+
+func (r replies) Reply(_ QueryID, reply Reply) { r <- reply }
+
+func newCore(attempts int) (*Core, *fakeNodes) {
+	nodes := &fakeNodes{seen: make(chan struct{}, 100)}
+	c := New(Options{Nodes: nodes, Log: zerolog.New(io.Discard), Settings: decide.Settings{
+		Cells: 1, InARow: 1, Shards: 8, TickMs: 5, MaxAttempts: attempts, SecondCopies: true, MayCancel: true, RetryAfter: true,
+		MaxRetryAfterMs: 2000, BundleMax: 1, ColdFrom: 1, FallTimes: 3, FallMs: 2000, DrainMs: 500,
+		Classes: []decide.Class{{AimMs: 1000, DeadlineMs: 2000, Worth: 1, Need: 1, Floor: 1}},
+	}})
+	c.Roster(Roster{Kind: decide.ListFull, Nodes: []Node{{ID: "a", Addr: "x"}, {ID: "b", Addr: "y"}}})
+	return c, nodes
+}
+
+func ask() *Query {
+	return &Query{Name: "q", Parts: []Part{{Shard: 0, Share: 0.5}, {Shard: 1, Share: 0.5}}, Came: time.Now(), Budget: 2 * time.Second}
+}
+
+// An overfull queue refuses queries and takes everything else.
+func TestOverfullQueue(t *testing.T) {
+	q := newQueue(2)
+	for i := range 3 {
+		if _, ok := q.offer(input{kind: inQuery}); ok != (i < 2) {
+			t.Errorf("offer %d: %v", i, ok)
+		}
+	}
+	q.put(input{kind: inOutcome})
+	if n := len(q.take()); n != 3 {
+		t.Errorf("%d inputs, want 3", n)
+	}
+	if _, ok := q.offer(input{kind: inQuery}); !ok {
+		t.Error("refused with room again")
+	}
+	q.close()
+	if _, ok := q.offer(input{kind: inQuery}); ok {
+		t.Error("taken after the end")
+	}
+}
+
+// A query gets one answer and an attempt one outcome, also where more comes.
+func TestOneAnswerOneOutcome(t *testing.T) {
+	c, nodes := newCore(3)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	got := make(replies, 10)
+	id, ok := c.Submit(ask(), got)
+	if !ok {
+		t.Fatal("not taken")
+	}
+	<-nodes.seen
+	<-nodes.seen
+	nodes.mu.Lock()
+	first, second := nodes.sent[0], nodes.sent[1]
+	nodes.mu.Unlock()
+	c.Outcome(first.ID, decide.OK, []byte("1"))
+	c.Outcome(first.ID, decide.Failed, nil)         // a second outcome
+	c.Outcome(first.ID, decide.OK, []byte("other")) // and a third
+	c.Outcome(second.ID, decide.OK, []byte("2"))
+	r := <-got
+	if r.Verdict != Served || !r.Whole || len(r.Values) != 2 || string(r.Values[0].Data) != "1" {
+		t.Errorf("got %+v", r)
+	}
+	c.Outcome(second.ID, decide.OK, []byte("2"))
+	c.Leave(id)
+	cancel()
+	<-ended
+	if len(got) != 0 || c.Stats().Served != 1 || len(c.tries)+len(c.parts)+len(c.queries)+c.held != 0 {
+		t.Errorf("more answers or state left: %d, %+v", len(got), c.Stats())
+	}
+}
+
+// What is open when the core is stopped still gets its answer.
+func TestStopAnswersAll(t *testing.T) {
+	c, nodes := newCore(3)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	got := make(replies, 1)
+	c.Submit(ask(), got)
+	<-nodes.seen
+	cancel()
+	<-ended
+	if r := <-got; r.Verdict == Served {
+		t.Errorf("got %+v", r)
+	}
+}
+
+// The core holds the rules whatever the module asks: nothing to a node whose
+// drain was told, no fourth attempt, nothing for a query that has ended, and
+// each refused attempt still gets an outcome that proves it never ran.
+func TestGuards(t *testing.T) {
+	c, _ := newCore(1)
+	c.turn()
+	now := time.Now()
+	c.take(input{id: 1, query: ask(), replier: make(replies, 1)}, now)
+	p := c.queries[1].parts[0]
+	outcome := func() decide.Outcome {
+		for _, in := range c.queue.take() {
+			return in.outcome
+		}
+		return decide.OK
+	}
+	c.nodes[1].depart(decide.Draining, now.Add(-drainGuard-time.Millisecond))
+	send := decide.Action{Kind: decide.Send, ID: p.id, Addr: 1}
+	if c.send(&send, now); len(c.batch) != 0 || outcome() != decide.Unreachable {
+		t.Error("sent to a node whose drain was told")
+	}
+	p.tries = nil
+	send.Addr = 9
+	if c.send(&send, now); len(c.batch) != 0 || outcome() != decide.Unreachable {
+		t.Error("sent to a node that is not listed")
+	}
+	p.tries = nil
+	send.Addr = 2
+	if c.send(&send, now); len(c.batch) != 1 || c.batch[0].Node != "b" {
+		t.Errorf("not sent: %+v", c.batch)
+	}
+	if c.send(&send, now); len(c.batch) != 1 || outcome() != decide.NotSent {
+		t.Error("sent more attempts than allowed")
+	}
+	whole := make(replies, 1)
+	c.queries[1].replier = whole
+	p.in, p.value = true, []byte("1")
+	c.conclude(&decide.Action{Kind: decide.Answer, ID: c.queries[1].event, Whole: true}, now)
+	if r := <-whole; r.Whole || len(r.Values) != 1 {
+		t.Errorf("an answer that misses a part is called whole: %+v", r)
+	}
+}
+
+// New limits hold from the next turn on.
+func TestLimitsAtTurnBoundary(t *testing.T) {
+	c, _ := newCore(3)
+	c.turn()
+	got := make(replies, 1)
+	c.SetLimits(Limits{QueueLimit: 100, MaxOpen: 2})
+	if c.opts.Limits.MaxOpen != 0 {
+		t.Fatal("applied outside a turn")
+	}
+	c.Submit(ask(), got)
+	c.turn()
+	if r := <-got; r.Verdict != Refused {
+		t.Errorf("got %+v, want a refusal: three would be held", r)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,7 +117,10 @@
 			return nil, err
 		}
 	}
-	if cfg.Known != nil {
+	// An empty list tells nothing: handed on, it would make every node of the
+	// first real list a newcomer, which the module spares as cold, and a broker
+	// without traffic yet would refuse all for as long.
+	if cfg.Known != nil && len(cfg.Known.Nodes) > 0 {
 		d.seen.deliver(broker.Roster{Kind: decide.ListCached, Version: cfg.Known.Version, Nodes: cfg.Known.Nodes})
 	} else if d.store != nil { // the last list that the group had, maybe old
 		if last := d.store.State().Roster; len(last.Nodes) > 0 {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -21,7 +21,13 @@
 }
 
 // Loop is one engine with one polling goroutine.
-type Loop struct{ engine *nbio.Engine }
+type Loop struct {
+	engine *nbio.Engine
+	// fence orders what Attach writes before what the engine's goroutine reads.
+	// The engine hands connections over through the kernel alone, which the Go
+	// memory model does not know.
+	fence atomic.Int64
+}
 
 // Conn is a connection on a Loop.
 type Conn struct {
@@ -37,21 +43,22 @@
 // connection.
 func New(maxWrite int) (*Loop, error) {
 	logging.SetLevel(logging.LevelNone) // the engine's own lines bypass our log
+	l := &Loop{}
 	e := nbio.NewEngine(nbio.Config{
 		Name: "gannetchute", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxWrite,
 	})
 	e.OnData(func(nc *nbio.Conn, b []byte) {
-		if c, ok := nc.Session().(*Conn); ok && !c.closed.Load() {
+		if c := l.conn(nc); c != nil && !c.closed.Load() {
 			c.h.Data(b)
 		}
 	})
 	e.OnClose(func(nc *nbio.Conn, err error) {
-		if c, ok := nc.Session().(*Conn); ok && !c.closed.Swap(true) {
+		if c := l.conn(nc); c != nil && !c.closed.Swap(true) {
 			go c.h.Closed(err)
 		}
 	})
 	e.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
-		if c, ok := nc.Session().(*Conn); ok && n > 0 {
+		if c := l.conn(nc); c != nil && n > 0 {
 			if done := c.written.Add(int64(n)); done >= c.queued.Load() {
 				if f := c.onFlush.Swap(nil); f != nil {
 					go (*f)()
@@ -62,7 +69,14 @@
 	if err := e.Start(); err != nil {
 		return nil, fmt.Errorf("starting the socket engine: %w", err)
 	}
-	return &Loop{engine: e}, nil
+	l.engine = e
+	return l, nil
+}
+
+func (l *Loop) conn(nc *nbio.Conn) *Conn {
+	l.fence.Load()
+	c, _ := nc.Session().(*Conn)
+	return c
 }
 
 // Stop ends the loop and closes its connections.
@@ -83,6 +97,7 @@
 	if set != nil {
 		set(c)
 	}
+	l.fence.Add(1)
 	if _, err := l.engine.AddConn(nc); err != nil {
 		return nil, fmt.Errorf("adding a connection: %w", err)
 	}
