--- a/broker/broker.go
+++ b/broker/broker.go
@@ -15,6 +15,10 @@
 // work by the core, whatever the module says. The module stops at once.
 const drainGuard = 250 * time.Millisecond
 
+// forgetAfter is when a node that has left is forgotten: no attempt lives so
+// long.
+const forgetAfter = 10 * time.Minute
+
 // lateTimer is how late a timer must fire for the core to take itself as
 // having stood still; settleFor is how long it then lets the socket goroutines
 // read what came meanwhile, so that the module sees stored answers before it
@@ -50,6 +54,7 @@
 	startMs float64
 
 	names   map[string]decide.Addr // node ids, interned
+	named   decide.Addr            // the latest of them
 	nodes   map[decide.Addr]*node
 	queries map[QueryID]*query
 	byEvent map[uint64]*query // by the module's id
@@ -310,7 +315,8 @@
 	for _, n := range r.Nodes {
 		addr, ok := c.names[n.ID]
 		if !ok {
-			addr = decide.Addr(len(c.names) + 1)
+			c.named++
+			addr = c.named
 			c.names[n.ID] = addr
 			c.nodes[addr] = &node{}
 		}
@@ -329,9 +335,13 @@
 	}
 	c.events = append(c.events, e)
 	var all []Node
-	for _, n := range c.nodes {
-		if n.State != decide.Gone {
+	for addr, n := range c.nodes {
+		switch {
+		case n.State != decide.Gone:
 			all = append(all, n.Node)
+		case now.Sub(n.left) > forgetAfter: // each release brings new ids: the old must not pile up
+			delete(c.names, n.ID)
+			delete(c.nodes, addr)
 		}
 	}
 	c.opts.Nodes.Update(all)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -182,3 +182,19 @@
 		t.Errorf("got %+v, want a refusal: three would be held", r)
 	}
 }
+
+// Nodes that left long ago are forgotten, and their numbers not used again.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	c, _ := newCore(3)
+	c.turn()
+	now := time.Now()
+	c.roster(Roster{Kind: decide.ListFull, Nodes: []Node{{ID: "b", Addr: "y"}}}, now)
+	c.roster(Roster{Kind: decide.ListDelta}, now.Add(forgetAfter/2))
+	if len(c.nodes) != 2 {
+		t.Errorf("%d nodes, want the one that left still known", len(c.nodes))
+	}
+	c.roster(Roster{Kind: decide.ListDelta, Nodes: []Node{{ID: "c", Addr: "z"}}}, now.Add(forgetAfter+time.Second))
+	if _, ok := c.names["a"]; ok || len(c.nodes) != 2 || c.names["c"] != 3 {
+		t.Errorf("names %v", c.names)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 	level  *level
 	window atomic.Int64 // of the hand-over, in nanoseconds
 	seen   *roster
+	known  chan struct{}      // closed once a list with nodes is in hand
 	cancel context.CancelFunc // of the roster
 	stop   context.CancelFunc // of the core
 	wg     sync.WaitGroup
@@ -94,7 +95,7 @@
 		lev.least.Store(int32(zerolog.InfoLevel))
 	}
 	log = log.Sample(lev)
-	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev}
+	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev, known: make(chan struct{})}
 	d.window.Store(int64(cfg.HandOver))
 	s := &sink{}
 	d.nodes = nodeclient.New(nodeclient.Options{
@@ -110,7 +111,7 @@
 		Limits: broker.Limits{MaxOpen: cfg.Settings.MaxOpen},
 	})
 	s.core = d.core
-	d.seen = &roster{core: d.core, nodes: map[string]broker.Node{}}
+	d.seen = &roster{core: d.core, nodes: map[string]broker.Node{}, ready: func() { close(d.known) }}
 	if cfg.Store != nil {
 		if err := d.openStore(); err != nil {
 			d.abort()
@@ -144,6 +145,22 @@
 		d.abort()
 		return nil, err
 	}
+	// Ready only with nodes to ask: until then every query would be refused,
+	// and the layer before us has other brokers.
+	select {
+	case <-d.known:
+		d.front.SetReady(true)
+	default:
+		d.wg.Add(1)
+		go func() {
+			defer d.wg.Done()
+			select {
+			case <-d.known:
+				d.front.SetReady(true)
+			case <-follow.Done():
+			}
+		}()
+	}
 	d.wg.Add(2)
 	go func() {
 		defer d.wg.Done()
@@ -155,7 +172,6 @@
 			Addr: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds, Deliver: d.seen.deliver, Log: log,
 		}).Run(follow)
 	}()
-	d.front.SetReady(true)
 	log.Info().Str("event", "started").Str("name", cfg.Name).Str("listen", d.Addr().String()).
 		Str("procs", strconv.Itoa(runtime.GOMAXPROCS(0))).Msg("serving")
 	return d, nil
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"sort"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,10 +45,15 @@
 	core  *broker.Core
 	store *store.Store
 	nodes map[string]broker.Node
+	ready func() // called once a list with nodes is in hand
+	once  sync.Once
 }
 
 func (r *roster) deliver(news broker.Roster) {
 	r.core.Roster(news)
+	if len(news.Nodes) > 0 {
+		r.once.Do(r.ready)
+	}
 	if r.store == nil {
 		return
 	}
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -26,19 +26,11 @@
 			kinds[n.ID], frames = r.frames, append(frames, n)
 		}
 	}
-	// A node that has left the list may still carry attempts to cancel.
-	for id, k := range r.kinds {
-		if kinds[id] == nil && len(kinds) < maxKinds {
-			kinds[id] = k
-		}
-	}
 	r.kinds = kinds
 	r.frames.Update(frames)
 	r.flight.Update(flight)
 }
 
-const maxKinds = 4096
-
 // Send implements broker.NodeClient.
 func (r *router) Send(node string, calls []broker.Attempt) {
 	if k := r.kinds[node]; k != nil {
@@ -50,11 +42,11 @@
 	}
 }
 
-// Cancel implements broker.NodeClient.
+// Cancel implements broker.NodeClient. The node may have left the list since,
+// so both clients are told; the one that does not know the attempt ignores it.
 func (r *router) Cancel(node string, id broker.AttemptID) {
-	if k := r.kinds[node]; k != nil {
-		k.Cancel(node, id)
-	}
+	r.frames.Cancel(node, id)
+	r.flight.Cancel(node, id)
 }
 
 // Probe implements broker.NodeClient.
--- a/daemon/rules_test.go
+++ b/daemon/rules_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -387,3 +388,37 @@
 		}
 	})
 }
+
+// A broker that knows no node is not ready; the first list makes it so.
+func TestReadyOnlyWithNodes(t *testing.T) {
+	d := testkit.NewDiscovery(t)
+	cfg, err := config.Parse(testkit.Config(d.Addr, nil, testkit.Settings(nil), nil), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := daemon.Start(cfg, zerolog.New(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := func() int {
+		res, err := http.Get("http://" + b.Addr().String() + "/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	testkit.Eventually(t, "the empty list is told", func() bool { return len(d.Calls()) >= 2 })
+	if got := ready(); got != http.StatusServiceUnavailable {
+		t.Errorf("without a node: %d", got)
+	}
+	d.Change(testkit.NewNode(t, "s-1", false).Entry())
+	testkit.Eventually(t, "ready", func() bool { return ready() == http.StatusOK })
+	if b.FlightAddr() != nil {
+		t.Error("the Flight front is on")
+	}
+	http.DefaultClient.CloseIdleConnections()
+	if err := b.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -78,7 +78,7 @@
 // Addr is where the front listens.
 func (f *Front) Addr() net.Addr { return f.listener.Addr() }
 
-// SetReady makes GET /ready answer 200.
+// SetReady makes GET /ready answer 200, until the front drains.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 func (f *Front) accept() {
@@ -149,7 +149,6 @@
 // the socket closes, and Drain returns when no request is left and the
 // connections are closed, or when ctx ends.
 func (f *Front) Drain(ctx context.Context, window time.Duration) {
-	f.SetReady(false)
 	f.draining.Store(true)
 	sleep(ctx, window)
 	if err := f.listener.Close(); err != nil {
@@ -263,7 +262,7 @@
 		status, text := http.StatusOK, "ready"
 		if m.Method != http.MethodGet {
 			status, text = http.StatusMethodNotAllowed, "want GET"
-		} else if !c.f.ready.Load() {
+		} else if !c.f.ready.Load() || c.f.draining.Load() {
 			status, text = http.StatusServiceUnavailable, "not ready"
 		}
 		c.finish(s, func(last bool) []byte { return encode(nil, status, text, 0, last) })
