Test both Flight ends by themselves; refuse second steps; keep decide/ formatted

A probe of a Flight node without actions counted as failed: the stand-in answers UNIMPLEMENTED, which shows that it runs, so it now counts as answered.

--- a/config/config.go
+++ b/config/config.go
@@ -197,6 +197,9 @@
 	c.Settings = s
 	c.Zones, c.Kinds = list(flat["zones"]), list(flat["kinds"])
 	for i := range s.Classes {
+		if s.Classes[i].Fetch > 0 { // its second step would never come
+			return wrong("settings.domain.classFetch", "second steps have no form on this protocol, want 0")
+		}
 		name := flat[fmt.Sprintf("classes.%d.name", i)]
 		if name == "" {
 			return wrong(fmt.Sprintf("settings.classes[%d].name", i), "missing")
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -60,6 +60,9 @@
 		{"caps.connIdleMs", map[string]any{"settings": testkit.Settings(func(s map[string]any) {
 			s["caps"].(map[string]any)["connIdleMs"] = -5
 		})}},
+		{"domain.classFetch", map[string]any{"settings": testkit.Settings(func(s map[string]any) {
+			s["domain"].(map[string]any)["classFetch"] = []int{0, 2, 0, 0}
+		})}},
 		{"flight.listen", map[string]any{"flight": map[string]any{"listen": "10.0.0.1:1"}}},
 		{"flight", map[string]any{"store": peers()}},
 		{"store.dir", map[string]any{"flight": flight, "store": map[string]any{}}},
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,7 +46,7 @@
 	ownShare   = 0.15  // further attempts a part earns where no budget is told: modest
 	ownFloor   = 10    // and those that need no earning
 	ownSpanMs  = 10000 // over this window
-	coldShare  = 0.65   // of the told fall budget: other roots may carry more traffic than we do
+	coldShare  = 0.65  // of the told fall budget: other roots may carry more traffic than we do
 	rateSpanMs = 5000  // window of the usual send rate: long beside gaps between sends
 	mostSends  = 1000  // sends over which the largest count of them fades: refusals do not fade it
 	askFirstMs = 100   // first pause before asking for the list again; doubles, with jitter
--- /dev/null
+++ b/flightfront/front_test.go
@@ -0,0 +1,202 @@
+package flightfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/rs/zerolog"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"onyxsail/broker"
+	"onyxsail/internal/flightwire"
+	"onyxsail/internal/query"
+	"onyxsail/internal/testkit"
+)
+
+// fakeCore gives every query the same reply, or none.
+type fakeCore struct {
+	mu    sync.Mutex
+	reply *broker.Reply
+	full  bool
+	got   []*broker.Query
+	left  int
+}
+
+func (c *fakeCore) Submit(q *broker.Query, r broker.Replier) (broker.QueryID, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.full {
+		return 0, false
+	}
+	c.got = append(c.got, q)
+	if c.reply != nil {
+		r.Reply(1, *c.reply)
+	}
+	return 1, true
+}
+
+func (c *fakeCore) Leave(broker.QueryID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left++
+}
+
+func start(t *testing.T) (*fakeCore, flight.Client) {
+	t.Helper()
+	core := &fakeCore{}
+	f, err := Listen("127.0.0.1:0", Options{
+		Core: core, MaxConns: 4, Shards: 18, Log: zerolog.New(io.Discard),
+		Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}, "edit": {Name: "edit", Index: 1, Keyed: true}},
+		Actions: []Action{{Name: "echo", About: "says it back", Run: func(_ context.Context, b []byte) ([]byte, error) {
+			if len(b) == 0 {
+				return nil, status.Error(codes.InvalidArgument, "nothing to say")
+			}
+			return b, nil
+		}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+f.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		conn.Close()
+		f.Drain(context.Background())
+	})
+	return core, flight.NewClientFromConn(conn, nil)
+}
+
+const good = `{"id":"a","class":"screen","targets":[{"partition":3,"share":1,"est_us":9000}],"query":"x"}`
+
+func get(ctx context.Context, c flight.Client, ticket string) (bool, []broker.Value, error) {
+	stream, err := c.DoGet(ctx, &flight.Ticket{Ticket: []byte(ticket)})
+	if err != nil {
+		return false, nil, err
+	}
+	return flightwire.ReadValues(stream)
+}
+
+func TestEndsAndTheirCodes(t *testing.T) {
+	core, client := start(t)
+	for _, c := range []struct {
+		name, ticket string
+		reply        broker.Reply
+		full         bool
+		code         codes.Code
+		retry        time.Duration
+	}{
+		{name: "served", ticket: good, reply: broker.Reply{Whole: true, Values: []broker.Value{{Shard: 3, Data: []byte("v\x00")}}}},
+		{name: "refused", ticket: good, reply: broker.Reply{Verdict: broker.Refused, RetryAfter: 70 * time.Millisecond},
+			code: codes.Unavailable, retry: 70 * time.Millisecond},
+		{name: "refused without a hint", ticket: good, reply: broker.Reply{Verdict: broker.Refused}, code: codes.Unavailable},
+		{name: "overfull", ticket: good, full: true, code: codes.Unavailable},
+		{name: "failed", ticket: good, reply: broker.Reply{Verdict: broker.Failed}, code: codes.Aborted},
+		{name: "expired", ticket: good, reply: broker.Reply{Verdict: broker.Expired}, code: codes.DeadlineExceeded},
+		{name: "no JSON", ticket: "{", code: codes.InvalidArgument},
+		{name: "no class", ticket: `{"id":"a","class":"x"}`, code: codes.NotFound},
+		{name: "no key", ticket: `{"id":"a","class":"edit","targets":[{"partition":3,"share":1}],"query":"x"}`, code: codes.InvalidArgument},
+		{name: "no parts", ticket: `{"id":"a","class":"screen","query":"x"}`, code: codes.InvalidArgument},
+	} {
+		core.mu.Lock()
+		core.reply, core.full = &c.reply, c.full
+		core.mu.Unlock()
+		whole, values, err := get(context.Background(), client, c.ticket)
+		var s interface{ GRPCStatus() *status.Status }
+		if c.code == codes.OK {
+			if err != nil || whole != c.reply.Whole || len(values) != 1 || values[0].Shard != 3 || string(values[0].Data) != "v\x00" {
+				t.Errorf("%s: got %v %+v %v", c.name, whole, values, err)
+			}
+			continue
+		}
+		if !errors.As(err, &s) || s.GRPCStatus().Code() != c.code {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.code)
+			continue
+		}
+		var info *errdetails.RetryInfo
+		for _, d := range s.GRPCStatus().Details() {
+			info, _ = d.(*errdetails.RetryInfo)
+		}
+		if (info != nil) != (c.code == codes.Unavailable) || info.GetRetryDelay().AsDuration() != c.retry {
+			t.Errorf("%s: RetryInfo %v", c.name, info)
+		}
+	}
+}
+
+// The call's deadline is the query's time, the class's where there is none; a
+// client that cancels has left.
+func TestDeadlineAndCancel(t *testing.T) {
+	core, client := start(t)
+	core.reply = &broker.Reply{}
+	if _, _, err := get(context.Background(), client, good); err != nil {
+		t.Fatal(err)
+	}
+	core.mu.Lock()
+	core.reply = nil
+	core.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := get(ctx, client, good)
+		done <- err
+	}()
+	testkit.Eventually(t, "the query is taken", func() bool {
+		core.mu.Lock()
+		defer core.mu.Unlock()
+		return len(core.got) == 2
+	})
+	cancel()
+	if err := <-done; err == nil {
+		t.Error("a cancelled call was answered")
+	}
+	testkit.Eventually(t, "the core hears that the client left", func() bool {
+		core.mu.Lock()
+		defer core.mu.Unlock()
+		return core.left == 1
+	})
+	if first, second := core.got[0].Budget, core.got[1].Budget; first != 4*time.Second || second > time.Minute || second < 30*time.Second {
+		t.Errorf("budgets %v and %v", first, second)
+	}
+}
+
+func TestInfoAndActions(t *testing.T) {
+	_, client := start(t)
+	ctx := context.Background()
+	info, err := client.GetFlightInfo(ctx, &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: []byte(good)})
+	if err != nil || len(info.Endpoint) != 1 || string(info.Endpoint[0].Ticket.Ticket) != good {
+		t.Errorf("info %v %v", info, err)
+	}
+	if _, err := client.GetFlightInfo(ctx, &flight.FlightDescriptor{Type: flight.DescriptorPATH}); status.Code(err) != codes.InvalidArgument {
+		t.Errorf("info of a path: %v", err)
+	}
+	list, err := client.ListActions(ctx, &flight.Empty{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, err := list.Recv(); err != nil || a.Type != "echo" {
+		t.Errorf("actions: %v %v", a, err)
+	}
+	for _, c := range []struct {
+		name, body string
+		code       codes.Code
+	}{{"echo", "hi", codes.OK}, {"echo", "", codes.InvalidArgument}, {"dance", "x", codes.Unimplemented}} {
+		stream, err := client.DoAction(ctx, &flight.Action{Type: c.name, Body: []byte(c.body)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := stream.Recv()
+		if status.Code(err) != c.code || err == nil && string(res.Body) != c.body {
+			t.Errorf("%s: %v %v", c.name, res, err)
+		}
+	}
+}
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -307,7 +307,8 @@
 			outcome = decide.Unreachable
 		} else if stream, err := flight.NewFlightServiceClient(conn).ListActions(ctx, &flight.Empty{}); err != nil {
 			outcome = decide.Failed
-		} else if _, err := stream.Recv(); err != nil && !errors.Is(err, io.EOF) { // no actions is an answer too
+		} else if _, err := stream.Recv(); err != nil && !errors.Is(err, io.EOF) && code(err) != codes.Unimplemented {
+			// A node that has no actions has answered all the same.
 			outcome = decide.Failed
 		}
 		c.mu.Lock()
