--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -26,6 +26,7 @@
 	maxUnread    = 256 << 10       // bytes of later requests that a connection may hold
 	lingerFor    = 2 * time.Second // for the other side's end, after ours
 	headWithin   = 10 * time.Second
+	drainMid     = time.Second // for a request that has begun, once draining
 	sweepEvery   = time.Second
 )
 
@@ -338,13 +339,19 @@
 	})
 }
 
-// endIfIdle ends a connection that carries no request, while draining.
+// endIfIdle ends a connection that carries no request, while draining. A
+// request that has begun may still become whole for a while; one that never
+// does must not keep the program from its end.
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.slots) == 0 && !c.ending && !c.parser.Mid() {
+	switch {
+	case len(c.slots) > 0 || c.ending:
+	case !c.parser.Mid():
 		c.ending = true
 		c.end()
+	case time.Since(c.since) > drainMid:
+		c.reject(http.StatusRequestTimeout, "the request did not become whole")
 	}
 }
 
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -291,3 +291,32 @@
 	busy.Close()
 	<-ended
 }
+
+// A request that never becomes whole does not keep the program from its end.
+func TestDrainEndsHalfRequests(t *testing.T) {
+	f, _ := start(t)
+	conn, in := dial(t, f)
+	if _, err := io.WriteString(conn, "POST /screen HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "the half is read", func() bool {
+		for _, c := range f.list() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.parser.Mid()
+		}
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		f.Drain(ctx, 0)
+		close(ended)
+	}()
+	if res, _ := read(t, in); res.StatusCode != http.StatusRequestTimeout || !res.Close {
+		t.Errorf("status %d close %v", res.StatusCode, res.Close)
+	}
+	conn.Close()
+	<-ended
+}
