Reload at SIGHUP; end client connections that come to nothing in time

What starved was accept: it waited for a slot (front.go, accept), and nothing ever freed one, as only requests that had begun were swept, after 10 s.

Changed: SIGHUP is caught before all else; config.Reload lets the file's new discovery win over NODE_DISCOVERY; the daemon begins the new watch at once, and late answers of the old one are dropped. The front queues connections by what they are waited for, ends silent ones after 1.5 s and half requests after 2 s, and makes room by closing the one that is idle longest. Requests sent ahead are bounded by number.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -46,6 +46,10 @@
 	return &cobra.Command{
 		Use: "serve", Short: "Run the broker until SIGTERM or SIGINT", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// SIGHUP is caught before all else and to the very end: its default
+			// would end the program, also half way through a start or a stop.
+			hup := make(chan os.Signal, 1) // one that waits stands for all until it is read
+			signal.Notify(hup, syscall.SIGHUP)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			cfg, err := config.Load(*path, os.Getenv)
@@ -58,9 +62,22 @@
 			if err != nil {
 				return err
 			}
-			<-ctx.Done()
-			stop()
-			return d.Stop(context.Background())
+			for {
+				select {
+				case <-ctx.Done():
+					stop()
+					return d.Stop(context.Background())
+				case <-hup:
+				}
+				next, err := config.Reload(*path, os.Getenv, cfg)
+				if err != nil {
+					log.Error().Str("event", "reload").Err(err).Msg("the configuration file cannot be used; the running one stands")
+					continue
+				}
+				cfg = next
+				daemon.TuneRuntime(cfg.Limits)
+				d.Reload(cfg)
+			}
 		},
 	}
 }
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -37,9 +37,10 @@
 
 // process is the program as it runs.
 type process struct {
-	cmd *exec.Cmd
-	mu  sync.Mutex
-	log bytes.Buffer
+	cmd  *exec.Cmd
+	file string // its configuration
+	mu   sync.Mutex
+	log  bytes.Buffer
 }
 
 func (p *process) Write(b []byte) (int, error) {
@@ -55,10 +56,10 @@
 }
 
 // serve starts the program and returns where it listens.
-func serve(t *testing.T, cfg []byte) (*process, string) {
+func serve(t *testing.T, cfg []byte, env ...string) (*process, string) {
 	t.Helper()
-	p := &process{cmd: exec.Command(program, "serve")}
-	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+testkit.WriteFile(t, cfg))
+	p := &process{cmd: exec.Command(program, "serve"), file: testkit.WriteFile(t, cfg)}
+	p.cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+p.file), env...)
 	p.cmd.Stderr, p.cmd.Stdout = p, p
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -128,6 +129,62 @@
 	}
 }
 
+// At SIGHUP the program reads its file again and goes on: the file's new
+// discovery wins over the one of the start, an unusable file changes nothing,
+// and a stop after it still answers all.
+func TestReload(t *testing.T) {
+	n1, n2 := testkit.NewNode(t, "s-1", false), testkit.NewNode(t, "s-2", false)
+	warm := n2.Entry()
+	warm.Started = time.Now().Add(-time.Hour).UnixMilli()
+	d1, d2 := testkit.NewDiscovery(t, n1.Entry()), testkit.NewDiscovery(t, n1.Entry(), warm)
+	config := func(discovery string) []byte {
+		return testkit.Config(discovery, []testkit.Entry{n1.Entry()}, testkit.Settings(nil), map[string]any{"log_level": "info"})
+	}
+	p, addr := serve(t, config(d1.Addr), "NODE_DISCOVERY="+d1.Addr)
+	reload := func(data []byte, says string) {
+		t.Helper()
+		if err := os.WriteFile(p.file, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		before := strings.Count(p.text(), says)
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		testkit.Eventually(t, says, func() bool { return strings.Count(p.text(), says) > before })
+	}
+	ask := func(id string) {
+		t.Helper()
+		q := testkit.Query{Class: "screen", ID: id, Shards: []int{1, 2, 3, 4}, Within: 10 * time.Second}
+		if got := testkit.AskHTTP(context.Background(), addr, q); got.Kind != "served" {
+			t.Errorf("%s: got %+v", id, got)
+		}
+	}
+	ask("a")
+	reload([]byte(`{"name":`), `"level":"error","event":"reload"`)
+	ask("b")
+	reload(config(d1.Addr), `"moved":false`)
+	reload(config(d2.Addr), `"moved":true`)
+	testkit.Eventually(t, "the new address is watched", func() bool { return len(d2.Calls()) > 1 })
+	before := len(d1.Calls())
+	n1.Stop() // only the new list names another
+	testkit.Eventually(t, "a node of the new list serves", func() bool {
+		q := testkit.Query{Class: "screen", ID: fmt.Sprintf("c%d", time.Now().UnixNano()), Shards: []int{1}, Within: 10 * time.Second}
+		return testkit.AskHTTP(context.Background(), addr, q).Kind == "served" && len(n2.Calls()) > 0
+	})
+	if len(d1.Calls()) != before {
+		t.Error("the old address is still asked")
+	}
+	for range 50 {
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.stop(t)
+	if !strings.Contains(p.text(), `"event":"stopped"`) {
+		t.Errorf("no stop in order:\n%s", p.text())
+	}
+}
+
 func run(args ...string) (code int, out, errs string) {
 	var o, e bytes.Buffer
 	code = cli.Main(args, &o, &e)
--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -56,13 +57,17 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Seed      uint64
-	Limits    Limits
-	Known     *discovery.List
-	Settings  decide.Settings
-	Zones     []string
-	Kinds     []string
-	Classes   []Class
+	// FileDiscovery is the file's own word, which NODE_DISCOVERY may have
+	// overridden in Discovery.
+	FileDiscovery string
+
+	Seed     uint64
+	Limits   Limits
+	Known    *discovery.List
+	Settings decide.Settings
+	Zones    []string
+	Kinds    []string
+	Classes  []Class
 
 	StreamsPerConn int
 	ConnectTimeout time.Duration
@@ -123,6 +128,41 @@
 	return Parse(data, getenv)
 }
 
+// Reload reads the file anew for a broker that runs with old. A discovery that
+// the file did not name before wins over NODE_DISCOVERY: the environment is
+// that of the start and can't tell of a move. An unchanged one moves nothing.
+func Reload(path string, getenv func(string) string, old *Config) (*Config, error) {
+	c, err := Load(path, getenv)
+	if err != nil {
+		return nil, err
+	}
+	if c.Discovery = old.Discovery; c.FileDiscovery != old.FileDiscovery {
+		c.Discovery = c.FileDiscovery
+	}
+	return c, c.check()
+}
+
+// NeedRestart names the fields in which the two differ and that a broker takes
+// from its start alone.
+func NeedRestart(old, now *Config) []string {
+	var names []string
+	note := func(name string, a, b any) {
+		if !reflect.DeepEqual(a, b) {
+			names = append(names, name)
+		}
+	}
+	a, b := old.Settings, now.Settings
+	a.MaxOpen, b.MaxOpen = 0, 0
+	note("name", old.Name, now.Name)
+	note("listen", old.Listen, now.Listen)
+	note("limits.sockets", old.Limits.Sockets, now.Limits.Sockets)
+	note("settings", []any{a, old.Zones, old.Kinds, old.Classes, old.StreamsPerConn, old.ConnectTimeout, old.ConnIdle},
+		[]any{b, now.Zones, now.Kinds, now.Classes, now.StreamsPerConn, now.ConnectTimeout, now.ConnIdle})
+	note("flight", old.Flight, now.Flight)
+	note("store", old.Store, now.Store)
+	return names
+}
+
 // Parse decodes a configuration. A field that the daemon does not know is a
 // fault in an operator's file; the platform's settings may hold more.
 func Parse(data []byte, getenv func(string) string) (*Config, error) {
@@ -139,13 +179,14 @@
 	if d.More() {
 		return nil, errors.New("configuration: more follows the object")
 	}
+	own := f.Discovery
 	for name, field := range map[string]*string{"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, FileDiscovery: own, Limits: f.Limits,
 		HandOver: defaultHandOver, LogLevel: f.LogLevel, Flight: f.Flight, Store: f.Store,
 	}
 	if f.HandOverMs != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,9 +50,14 @@
 	window atomic.Int64 // of the hand-over, in nanoseconds
 	seen   *roster
 	known  chan struct{}      // closed once a list with nodes is in hand
-	cancel context.CancelFunc // of the roster
+	cancel context.CancelFunc // of the wait for a list
 	stop   context.CancelFunc // of the core
 	wg     sync.WaitGroup
+
+	mu     sync.Mutex         // guards cfg, what follows, and limits that two sides set
+	watch  context.CancelFunc // of the roster at the present address
+	over   bool               // Stop has begun
+	limits broker.Limits      // as the core was told last
 }
 
 // TuneRuntime fits the Go runtime to the platform's limits: it is called once
@@ -89,13 +94,10 @@
 		sockets = defaultSockets
 	}
 	lev := &level{}
-	if l, err := zerolog.ParseLevel(cfg.LogLevel); err == nil && cfg.LogLevel != "" {
-		lev.least.Store(int32(l))
-	} else {
-		lev.least.Store(int32(zerolog.InfoLevel))
-	}
+	lev.set(cfg.LogLevel)
 	log = log.Sample(lev)
 	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev, known: make(chan struct{})}
+	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.window.Store(int64(cfg.HandOver))
 	s := &sink{}
 	d.nodes = nodeclient.New(nodeclient.Options{
@@ -108,7 +110,7 @@
 	d.core = broker.New(broker.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Log: log,
 		Nodes:  &router{frames: d.nodes, flight: d.remote, sink: s},
-		Limits: broker.Limits{MaxOpen: cfg.Settings.MaxOpen},
+		Limits: d.limits,
 	})
 	s.core = d.core
 	d.seen = &roster{core: d.core, nodes: map[string]broker.Node{}, ready: func() { close(d.known) }}
@@ -128,9 +130,9 @@
 			d.seen.deliver(broker.Roster{Kind: decide.ListCached, Version: last.Version, Nodes: last.Nodes})
 		}
 	}
-	var run, follow context.Context
+	var run, wait context.Context
 	run, d.stop = context.WithCancel(context.Background())
-	follow, d.cancel = context.WithCancel(context.Background())
+	wait, d.cancel = context.WithCancel(context.Background())
 	d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
 		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
 		MaxConns: sockets * 3 / 8, Log: log,
@@ -157,26 +159,79 @@
 			select {
 			case <-d.known:
 				d.front.SetReady(true)
-			case <-follow.Done():
+			case <-wait.Done():
 			}
 		}()
 	}
-	d.wg.Add(2)
+	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
 		d.core.Run(run)
 	}()
-	go func() {
-		defer d.wg.Done()
-		discovery.New(discovery.Options{
-			Addr: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds, Deliver: d.seen.deliver, Log: log,
-		}).Run(follow)
-	}()
+	d.mu.Lock()
+	d.followAt(cfg.Discovery)
+	d.mu.Unlock()
 	log.Info().Str("event", "started").Str("name", cfg.Name).Str("listen", d.Addr().String()).
 		Str("procs", strconv.Itoa(runtime.GOMAXPROCS(0))).Msg("serving")
 	return d, nil
 }
 
+// followAt begins to watch discovery at addr and ends the watch before it,
+// whose late answers no longer count: they would bring an old list back. d.mu
+// is held.
+func (d *Daemon) followAt(addr string) {
+	if d.watch != nil {
+		d.watch()
+	}
+	var ctx context.Context
+	ctx, d.watch = context.WithCancel(context.Background())
+	client := discovery.New(discovery.Options{
+		Addr: addr, Zones: d.cfg.Zones, Kinds: d.cfg.Kinds, Log: d.log, Deliver: d.seen.source(),
+	})
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		client.Run(ctx)
+	}()
+}
+
+// Reload takes a configuration into use that was read anew while the broker
+// runs. The roster and all connections survive; fields that only a restart can
+// apply keep their old values and are named in the log.
+func (d *Daemon) Reload(cfg *config.Config) {
+	if d.store != nil { // what the group has set goes on to hold
+		defer func() { d.configure(d.store.State()) }()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.over {
+		d.log.Info().Str("event", "reload").Msg("not applied: the broker is stopping")
+		return
+	}
+	old := d.cfg
+	next := *old
+	next.Discovery, next.FileDiscovery = cfg.Discovery, cfg.FileDiscovery
+	next.LogLevel, next.HandOver = cfg.LogLevel, cfg.HandOver
+	next.Limits.Cores, next.Limits.MemoryMB = cfg.Limits.Cores, cfg.Limits.MemoryMB
+	next.Settings.MaxOpen = cfg.Settings.MaxOpen
+	d.cfg = &next
+	if next.LogLevel != old.LogLevel {
+		d.level.set(next.LogLevel)
+	}
+	if next.HandOver != old.HandOver {
+		d.window.Store(int64(next.HandOver))
+	}
+	if next.Settings.MaxOpen != old.Settings.MaxOpen {
+		d.limits.MaxOpen = next.Settings.MaxOpen
+		d.core.SetLimits(d.limits)
+	}
+	if next.Discovery != old.Discovery {
+		d.followAt(next.Discovery)
+	}
+	d.log.Info().Str("event", "reload").Str("discovery", next.Discovery).Bool("moved", next.Discovery != old.Discovery).
+		Strs("need_restart", config.NeedRestart(old, cfg)).Msg("the configuration file was read again")
+}
+
 // abort undoes a start that failed half way.
 func (d *Daemon) abort() {
 	if d.store != nil {
@@ -226,6 +281,10 @@
 		d.flight.Drain(ctx)
 	}
 	err := ctx.Err()
+	d.mu.Lock()
+	d.over = true // a reload from now on would start what nothing ends
+	d.watch()
+	d.mu.Unlock()
 	d.cancel()
 	d.stop()
 	d.wg.Wait()
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -39,6 +39,14 @@
 // Sample implements zerolog.Sampler.
 func (l *level) Sample(at zerolog.Level) bool { return int32(at) >= l.least.Load() }
 
+func (l *level) set(name string) {
+	least, err := zerolog.ParseLevel(name)
+	if err != nil || name == "" {
+		least = zerolog.InfoLevel
+	}
+	l.least.Store(int32(least))
+}
+
 // roster hands the list on to the core and, where a store runs, keeps it whole
 // for the store.
 type roster struct {
@@ -47,6 +55,25 @@
 	nodes map[string]broker.Node
 	ready func() // called once a list with nodes is in hand
 	once  sync.Once
+
+	mu  sync.Mutex
+	now int // the source that may deliver
+}
+
+// source returns what a new source of news delivers to. From then on news of
+// all earlier ones are ignored.
+func (r *roster) source() func(broker.Roster) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.now++
+	own := r.now
+	return func(news broker.Roster) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.now == own {
+			r.deliver(news)
+		}
+	}
 }
 
 func (r *roster) deliver(news broker.Roster) {
@@ -98,15 +125,16 @@
 	if c.Version == 0 {
 		return
 	}
-	if l, err := zerolog.ParseLevel(c.LogLevel); err == nil {
-		d.level.least.Store(int32(l))
-	}
+	d.level.set(c.LogLevel)
 	d.window.Store(int64(time.Duration(c.HandOverMs) * time.Millisecond))
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	open := d.cfg.Settings.MaxOpen
 	if c.MaxOpen > 0 && (open == 0 || c.MaxOpen < open) { // the settings' figure is a limit of the platform's
 		open = c.MaxOpen
 	}
-	d.core.SetLimits(broker.Limits{QueueLimit: c.QueueLimit, MaxOpen: open})
+	d.limits = broker.Limits{QueueLimit: c.QueueLimit, MaxOpen: open}
+	d.core.SetLimits(d.limits)
 	d.log.Info().Str("event", "configured").Uint64("version", c.Version).Msg("a configuration took effect")
 }
 
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -3,6 +3,7 @@
 package httpfront
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -21,13 +22,33 @@
 	"onyxsail/internal/query"
 )
 
+// Each connection must come to something in time, or hundreds that never do
+// would hold all descriptors.
 const (
-	maxPipelined = 16              // requests of one connection in work at once
-	maxUnread    = 256 << 10       // bytes of later requests that a connection may hold
-	lingerFor    = 2 * time.Second // for the other side's end, after ours
-	headWithin   = 10 * time.Second
-	drainMid     = time.Second // for a request that has begun, once draining
-	sweepEvery   = time.Second
+	maxPipelined = 4                       // requests of one connection in work at once
+	silentFor    = 1500 * time.Millisecond // without a first byte
+	wholeWithin  = 2 * time.Second         // for a request that has begun
+	idleLeast    = 2 * time.Second         // between requests, while connections are scarce
+	idleMost     = time.Minute             // and while they are not
+	lingerFor    = time.Second             // for the other side's end, after ours
+	drainMid     = time.Second             // for a request that has begun, once draining
+	sweepEvery   = 100 * time.Millisecond
+	// youngest is how old a connection must be at least to make room for
+	// another: its first request may wait to be read.
+	youngest  = 100 * time.Millisecond
+	roomEvery = 5 * time.Millisecond // between looks for room, when there is none
+)
+
+// state says what a connection is waited for.
+type state uint8
+
+const (
+	busy    state = iota // its answers
+	silent               // its first byte
+	reading              // the rest of a request
+	idle                 // its next request
+	leaving              // the other side's end, after ours
+	states  = iota
 )
 
 // Core is what the front needs of the broker.
@@ -56,8 +77,9 @@
 	accepted sync.WaitGroup
 	stop     chan struct{}
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	queues [states]list.List // connections by state, the longest in it first
 }
 
 // Listen opens the front's socket and begins to serve.
@@ -85,8 +107,9 @@
 func (f *Front) accept() {
 	defer f.accepted.Done()
 	for {
-		// No room: wait with what is not accepted, which is not yet ours.
-		f.slots <- struct{}{}
+		if !f.room() {
+			return
+		}
 		nc, err := f.listener.Accept()
 		if err != nil {
 			<-f.slots
@@ -99,10 +122,13 @@
 		}
 		c := &conn{f: f, parser: http1.Parser{MaxBody: MaxBody}, since: time.Now()}
 		_, err = f.opts.Loop.Attach(nc, c, func(s *netio.Conn) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			c.sock = s
 			f.mu.Lock()
 			f.conns[c] = struct{}{}
 			f.mu.Unlock()
+			c.place()
 		})
 		if err != nil {
 			if c.sock == nil { // else Closed gives the slot back
@@ -113,7 +139,54 @@
 	}
 }
 
-// sweep closes connections whose request never becomes whole.
+// room takes a slot for one more connection; false says that the front ends. Where all are taken, one that is
+// of least use is closed: clients that ask once and keep their connection, or
+// say nothing, would otherwise shut out all others. Where none may be closed,
+// what is not accepted yet is not ours and waits.
+func (f *Front) room() bool {
+	for {
+		select {
+		case f.slots <- struct{}{}:
+			return true
+		default:
+		}
+		f.evict()
+		select {
+		case <-f.stop:
+			return false
+		case f.slots <- struct{}{}:
+			return true
+		case <-time.After(roomEvery):
+		}
+	}
+}
+
+// evict closes one connection that carries no request, if there is one.
+func (f *Front) evict() {
+	for _, v := range []struct {
+		state state
+		age   time.Duration
+	}{{leaving, youngest}, {silent, youngest}, {idle, idleLeast}, {reading, wholeWithin / 2}, {idle, youngest}} {
+		if c := f.longest(v.state, v.age); c != nil && c.shut(v.state) {
+			return
+		}
+	}
+}
+
+// longest returns the connection that has been in a state the longest, if that
+// is for some time.
+func (f *Front) longest(s state, atLeast time.Duration) *conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.queues[s].Front(); e != nil {
+		if c := e.Value.(*conn); time.Since(c.entered) >= atLeast {
+			return c
+		}
+	}
+	return nil
+}
+
+// sweep closes connections that have been waited for too long.
 func (f *Front) sweep() {
 	defer f.accepted.Done()
 	tick := time.NewTicker(sweepEvery)
@@ -124,12 +197,21 @@
 			return
 		case <-tick.C:
 		}
-		for _, c := range f.list() {
-			c.mu.Lock()
-			slow := c.parser.Mid() && len(c.slots) == 0 && !c.ending && time.Since(c.since) > headWithin
-			c.mu.Unlock()
-			if slow {
+		f.sweepOnce()
+	}
+}
+
+func (f *Front) sweepOnce() {
+	spare := idleMost
+	if len(f.slots) > cap(f.slots)/2 {
+		spare = idleLeast
+	}
+	for s, most := range map[state]time.Duration{silent: silentFor, idle: spare, leaving: lingerFor, reading: wholeWithin} {
+		for c := f.longest(s, most); c != nil; c = f.longest(s, most) {
+			if s == reading {
 				c.fail(http.StatusRequestTimeout, "the request did not become whole")
+			} else {
+				c.shut(s)
 			}
 		}
 	}
@@ -164,6 +246,7 @@
 		for _, c := range open {
 			c.endIfIdle()
 		}
+		f.sweepOnce()
 		sleep(ctx, 10*time.Millisecond)
 	}
 	for _, c := range f.list() {
@@ -189,9 +272,16 @@
 	mu     sync.Mutex
 	parser http1.Parser
 	slots  []*slot
-	since  time.Time // of the latest event, for slow requests
+	since  time.Time // when it was last waited for anew
+	spoke  bool      // a byte has come
 	ending bool      // nothing more is read from it
+	ended  bool      // our side of the stream is over
 	closed bool
+
+	// The front's lock guards what follows.
+	in      *list.Element
+	queue   state
+	entered time.Time
 }
 
 type slot struct {
@@ -207,34 +297,84 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ending {
-		return
+		return // read all the same: a close now would reset what the peer has yet to read
 	}
+	defer c.place()
 	if !c.parser.Mid() {
 		c.since = time.Now()
 	}
+	c.spoke = true
 	c.parser.Feed(b)
 	c.work()
 	if c.parser.WantsContinue() && len(c.slots) == 0 {
 		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	if c.parser.Buffered() > maxUnread {
-		c.reject(http.StatusBadRequest, "too much was sent ahead")
-	}
 }
 
-// work takes the requests that are whole.
+// work takes the requests that are whole. Clients send one at a time; whoever
+// sends many ahead would have a connection hold any number of them.
 func (c *conn) work() {
-	for len(c.slots) < maxPipelined && !c.ending {
+	for !c.ending {
 		m, err := c.parser.Next()
-		if err != nil {
+		switch {
+		case err != nil:
 			c.reject(statusOf(err), err.Error())
+		case m == nil:
 			return
+		case len(c.slots) >= maxPipelined:
+			c.reject(http.StatusTooManyRequests, "too many requests were sent ahead")
+		default:
+			c.since = time.Now() // what is buffered behind it begins anew
+			c.serve(m)
 		}
-		if m == nil {
+	}
+}
+
+// place puts the connection where it belongs by what it is waited for; c.mu is
+// held.
+func (c *conn) place() {
+	now := idle
+	switch {
+	case c.ended:
+		now = leaving
+	case len(c.slots) > 0:
+		now = busy
+	case c.parser.Mid():
+		now = reading
+	case !c.spoke:
+		now = silent
+	}
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.in != nil {
+		if c.queue == now && !(now == reading && c.entered.Before(c.since)) {
 			return
 		}
-		c.serve(m)
+		f.queues[c.queue].Remove(c.in)
+		c.in = nil
+	}
+	if _, open := f.conns[c]; open {
+		c.in, c.queue, c.entered = f.queues[now].PushBack(c), now, time.Now()
+	}
+}
+
+// shut closes the connection at once if it is still in the given state.
+func (c *conn) shut(s state) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.f.mu.Lock()
+	still := c.in != nil && c.queue == s
+	if still { // found no second time, even before Closed has come
+		c.f.queues[s].Remove(c.in)
+		c.in = nil
 	}
+	c.f.mu.Unlock()
+	if still {
+		c.ending, c.closed = true, true
+		c.sock.Close()
+	}
+	return still
 }
 
 // reject answers what cannot be read, after the answers before it, and ends
@@ -248,6 +388,7 @@
 func (c *conn) fail(status int, why string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.place()
 	if !c.ending {
 		c.reject(status, why)
 	}
@@ -290,6 +431,7 @@
 func (c *conn) Reply(id broker.QueryID, r broker.Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.place()
 	for _, s := range c.slots {
 		if s.id == id && !s.done {
 			c.finish(s, func(last bool) []byte { return encodeReply(nil, r, last) })
@@ -310,7 +452,6 @@
 	for len(c.slots) > 0 && c.slots[0].done && !c.closed {
 		s := c.slots[0]
 		c.slots = c.slots[1:]
-		c.since = time.Now()
 		c.write(s.out)
 		if s.last {
 			c.ending = true
@@ -333,9 +474,9 @@
 // closed its own or has had time to: a plain close could destroy an answer
 // that the client has not read yet.
 func (c *conn) end() {
+	c.ended = true
 	c.sock.AfterFlush(func() {
 		_ = c.sock.CloseWrite() // fails only where the socket is gone already
-		time.AfterFunc(lingerFor, c.sock.Close)
 	})
 }
 
@@ -345,6 +486,7 @@
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.place()
 	switch {
 	case len(c.slots) > 0 || c.ending:
 	case !c.parser.Mid():
@@ -369,6 +511,10 @@
 	}
 	c.f.mu.Lock()
 	delete(c.f.conns, c)
+	if c.in != nil {
+		c.f.queues[c.queue].Remove(c.in)
+		c.in = nil
+	}
 	c.f.mu.Unlock()
 	<-c.f.slots
 }
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -320,3 +320,90 @@
 	conn.Close()
 	<-ended
 }
+
+// What comes to nothing is ended in time, with a word where a request had begun.
+func TestConnectionsThatComeToNothing(t *testing.T) {
+	f, core := start(t)
+	for _, c := range []struct {
+		name, in string
+		status   int // 0: a close without a word
+	}{
+		{"silent", "", 0},
+		{"half a head", "POST /screen HTTP/1.1\r\nX-Requ", 408},
+		{"half a body", "POST /screen HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", 408},
+		{"half a request after a whole one", "GET /ready HTTP/1.1\r\nHost: a\r\n\r\nPOST /scr", 408},
+	} {
+		conn, in := dial(t, f)
+		if _, err := io.WriteString(conn, c.in); err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(c.in, "GET") {
+			read(t, in)
+		}
+		if c.status != 0 {
+			if res, _ := read(t, in); res.StatusCode != c.status || !res.Close {
+				t.Errorf("%s: status %d close %v", c.name, res.StatusCode, res.Close)
+			}
+		}
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: %v, want the end", c.name, err)
+		}
+	}
+	if core.taken() != 0 {
+		t.Errorf("%d queries reached the core", core.taken())
+	}
+}
+
+// Clients that asked once and keep their connections make room for others.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	f, _ := start(t)
+	for range 3 * cap(f.slots) {
+		conn, in := dial(t, f)
+		if _, err := io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if res, _ := read(t, in); res.StatusCode != 200 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+}
+
+// A flood on one connection is cut after the few requests that were taken,
+// whose answers still come first.
+func TestFloodOfOneConnection(t *testing.T) {
+	f, core := start(t)
+	conn, in := dial(t, f)
+	if _, err := io.WriteString(conn, strings.Repeat(post("/screen", heads, good), 100)); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "the first are taken", func() bool { return core.taken() == maxPipelined })
+	for i := range maxPipelined {
+		core.answer(broker.QueryID(i+1), broker.Reply{Verdict: broker.Served})
+		if res, _ := read(t, in); res.StatusCode != 200 {
+			t.Errorf("answer %d: status %d", i, res.StatusCode)
+		}
+	}
+	if res, _ := read(t, in); res.StatusCode != 429 || !res.Close {
+		t.Errorf("status %d close %v", res.StatusCode, res.Close)
+	}
+	if core.taken() != maxPipelined {
+		t.Errorf("%d queries reached the core", core.taken())
+	}
+}
+
+// An early error reaches a peer that goes on sending: no reset eats it.
+func TestEarlyErrorReachesSender(t *testing.T) {
+	f, _ := start(t)
+	conn, in := dial(t, f)
+	if _, err := io.WriteString(conn, "POST /screen HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for range 64 { // all of this is written before a byte is read
+		if _, err := conn.Write(make([]byte, 64<<10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if res, _ := read(t, in); res.StatusCode != 413 || !res.Close {
+		t.Errorf("status %d close %v", res.StatusCode, res.Close)
+	}
+}
