Leave silent connections to nodes alone; bound and check what nodes and clients send

Ruled out: max_open, CPU, memory, full pools.

Changed: a connection on which parts wait for 8 times the node's usual answer with nothing read gets no new ones; it is closed once the node speaks on another, and its parts count as called off. Spoilt answers: lengths, letters, lines, ends, ids and values are checked before anything is allocated or waited for; the connection closes at once, one part has failed, the others are called off, so that one spoilt answer is held against a node once. What follows a good answer, or a report that cannot be read, spoils nothing. Front: X-Class, ids, deadline and key once each, shares that add up, UTF-8; a query under an open one's id gets 409. Budgets end with the class's time. Flight gets the same.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -16,8 +16,8 @@
 const drainGuard = 250 * time.Millisecond
 
 // forgetAfter is when a node that has left is forgotten: no attempt lives so
-// long.
-const forgetAfter = 10 * time.Minute
+// long, and on a long day each release brings new ids.
+const forgetAfter = 30 * time.Second
 
 // lateTimer is how late a timer must fire for the core to take itself as
 // having stood still; settleFor is how long it then lets the socket goroutines
@@ -57,6 +57,7 @@
 	named   decide.Addr            // the latest of them
 	nodes   map[decide.Addr]*node
 	queries map[QueryID]*query
+	open    map[string]*query // by the client's id
 	byEvent map[uint64]*query // by the module's id
 	parts   map[uint64]*part
 	tries   map[AttemptID]*try
@@ -115,7 +116,7 @@
 		opts: o, root: decide.New(o.Settings, o.Seed), queue: newQueue(o.Limits.QueueLimit),
 		start: now, startMs: float64(now.UnixMicro()) / 1000,
 		names: map[string]decide.Addr{}, nodes: map[decide.Addr]*node{},
-		queries: map[QueryID]*query{}, byEvent: map[uint64]*query{}, parts: map[uint64]*part{}, tries: map[AttemptID]*try{},
+		queries: map[QueryID]*query{}, open: map[string]*query{}, byEvent: map[uint64]*query{}, parts: map[uint64]*part{}, tries: map[AttemptID]*try{},
 	}
 }
 
@@ -248,6 +249,12 @@
 	c.stats.queries.Add(1)
 	q := &query{Query: *in.query, id: in.id, replier: in.replier}
 	left := q.Budget - now.Sub(q.Came)
+	// The parts' ids are made of the query's: under one id the answers of two
+	// open queries could be mixed up. Only the newcomer pays for that.
+	if c.open[q.Name] != nil {
+		c.finish(q, Reply{Verdict: Duplicate})
+		return
+	}
 	if room := c.opts.Limits.MaxOpen; room > 0 && c.held+1+len(q.Parts) > room {
 		c.finish(q, Reply{Verdict: Refused})
 		return
@@ -258,7 +265,7 @@
 	}
 	c.held += 1 + len(q.Parts)
 	c.stats.open.Add(1)
-	c.queries[q.id] = q
+	c.queries[q.id], c.open[q.Name] = q, q
 	c.number++
 	c.lastID++
 	q.event = c.lastID
@@ -509,6 +516,7 @@
 		delete(c.parts, p.id)
 	}
 	delete(c.queries, q.id)
+	delete(c.open, q.Name)
 	delete(c.byEvent, q.event)
 	c.held -= 1 + len(q.parts)
 	c.stats.open.Add(-1)
@@ -520,7 +528,7 @@
 		c.stats.served.Add(1)
 	case Refused:
 		c.stats.refused.Add(1)
-	case Failed:
+	case Failed, Duplicate:
 		c.stats.failed.Add(1)
 	case Expired:
 		c.stats.expired.Add(1)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -198,3 +198,36 @@
 		t.Errorf("names %v", c.names)
 	}
 }
+
+// A query under the id of an open one gets its answer at once and harms nobody.
+func TestDuplicateID(t *testing.T) {
+	c, nodes := newCore(3)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	first, second := make(replies, 2), make(replies, 2)
+	submit := func(r replies) {
+		if _, ok := c.Submit(ask(), r); !ok {
+			t.Fatal("not taken")
+		}
+	}
+	submit(first)
+	<-nodes.seen
+	<-nodes.seen
+	submit(second)
+	if r := <-second; r.Verdict != Duplicate {
+		t.Errorf("the newcomer got %+v", r)
+	}
+	for _, a := range nodes.sent {
+		c.Outcome(a.ID, decide.OK, []byte("v"))
+	}
+	if r := <-first; r.Verdict != Served || !r.Whole || len(r.Values) != 2 {
+		t.Errorf("the open query got %+v", r)
+	}
+	submit(second) // its id is free again
+	<-nodes.seen
+	if len(second) != 0 {
+		t.Errorf("after the first had ended: %+v", <-second)
+	}
+}
--- a/broker/types.go
+++ b/broker/types.go
@@ -42,10 +42,11 @@
 
 // The ways in which a query ends.
 const (
-	Served  Verdict = iota // Values hold the answer
-	Refused                // asking again is harmless
-	Failed                 // given up, with no promise about its effect
-	Expired                // its time ran out; no promise about its effect
+	Served    Verdict = iota // Values hold the answer
+	Refused                  // asking again is harmless
+	Failed                   // given up, with no promise about its effect
+	Expired                  // its time ran out; no promise about its effect
+	Duplicate                // its id is that of an open query; nothing of it was done
 )
 
 // Value is the answer of one part, as its node gave it.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,7 +31,7 @@
 
 const (
 	defaultSockets = 1024
-	maxWrite       = 4 << 20         // bytes that wait at one connection
+	maxWrite       = 512 << 10       // bytes that wait at one connection
 	drainWithin    = 8 * time.Second // beyond the longest deadline nothing is left
 )
 
@@ -96,13 +96,19 @@
 	lev := &level{}
 	lev.set(cfg.LogLevel)
 	log = log.Sample(lev)
+	// A sixteenth is kept for discovery, the log and connections that change
+	// hands. Without a Flight front its share goes to the clients.
+	clients := sockets * 3 / 8
+	if cfg.Flight == nil {
+		clients = sockets / 2
+	}
 	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev, known: make(chan struct{})}
 	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.window.Store(int64(cfg.HandOver))
 	s := &sink{}
 	d.nodes = nodeclient.New(nodeclient.Options{
 		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
-		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 3 / 8, Log: log,
+		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 5 / 16, Log: log,
 	})
 	d.remote = flightnode.New(flightnode.Options{
 		Sink: s, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Log: log,
@@ -135,7 +141,7 @@
 	wait, d.cancel = context.WithCancel(context.Background())
 	d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
 		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
-		MaxConns: sockets * 3 / 8, Log: log,
+		MaxConns: clients, Log: log,
 	})
 	if err == nil && cfg.Flight != nil {
 		d.flight, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -33,7 +33,9 @@
 const (
 	maxTicket  = 64 << 10
 	maxStreams = 256 // queries of one connection at once
-	idleAfter  = 2 * time.Minute
+	idleAfter  = time.Minute
+	greetIn    = 2 * time.Second // for a new connection's first words
+	maxHeaders = 16 << 10
 )
 
 // Core is what the front needs of the broker.
@@ -77,6 +79,7 @@
 	}
 	f := &Front{opts: o, listener: l}
 	f.server = grpc.NewServer(
+		grpc.ConnectionTimeout(greetIn), grpc.MaxHeaderListSize(maxHeaders),
 		grpc.MaxRecvMsgSize(maxTicket+(4<<10)), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleAfter}),
 	)
@@ -145,7 +148,7 @@
 	}
 	q.Budget = time.Duration(class.DeadlineMs * float64(time.Millisecond)) // where the call has no deadline
 	if at, ok := ctx.Deadline(); ok {
-		if q.Budget = at.Sub(now); q.Budget <= 0 {
+		if q.Budget = min(q.Budget, at.Sub(now)); q.Budget <= 0 {
 			return nil, status.Error(codes.DeadlineExceeded, "the query's time was up when it came")
 		}
 	}
@@ -180,6 +183,8 @@
 		return flightwire.WriteValues(stream, r.Whole, r.Values)
 	case broker.Refused:
 		return refusal(r.RetryAfter)
+	case broker.Duplicate:
+		return status.Error(codes.AlreadyExists, "a query of this id is open")
 	case broker.Expired:
 		return status.Error(codes.DeadlineExceeded, "out of time; the query may have taken effect")
 	}
--- a/flightfront/front_test.go
+++ b/flightfront/front_test.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// The call's deadline is the query's time, the class's where there is none; a
+// The call's deadline is the query's time, the class's where there is none or a longer one; a
 // client that cancels has left.
 func TestDeadlineAndCancel(t *testing.T) {
 	core, client := start(t)
@@ -144,7 +144,7 @@
 	core.mu.Lock()
 	core.reply = nil
 	core.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	done := make(chan error, 1)
 	go func() {
 		_, _, err := get(ctx, client, good)
@@ -164,7 +164,7 @@
 		defer core.mu.Unlock()
 		return core.left == 1
 	})
-	if first, second := core.got[0].Budget, core.got[1].Budget; first != 4*time.Second || second > time.Minute || second < 30*time.Second {
+	if first, second := core.got[0].Budget, core.got[1].Budget; first != 4*time.Second || second > 3*time.Second || second <= 0 {
 		t.Errorf("budgets %v and %v", first, second)
 	}
 }
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -27,7 +27,8 @@
 )
 
 const (
-	maxAnswer = 1 << 20
+	maxAnswer = 128 << 10 // of one message
+	maxValue  = 64 << 10
 	idleShare = 0.7
 	maxCalls  = 4096 // attempts out at once, over all nodes
 )
@@ -243,7 +244,7 @@
 	if err == nil {
 		_, values, err = flightwire.ReadValues(get)
 	}
-	if err == nil && (len(values) != 1 || values[0].Shard != a.Shard) {
+	if err == nil && (len(values) != 1 || values[0].Shard != a.Shard || len(values[0].Data) > maxValue) {
 		return decide.Failed, nil, fmt.Errorf("answer of %d parts, want the one of shard %d", len(values), a.Shard)
 	}
 	if err == nil {
--- a/httpfront/codec.go
+++ b/httpfront/codec.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"onyxsail/broker"
 	"onyxsail/internal/http1"
@@ -52,8 +53,13 @@
 	if m.Method != http.MethodPost {
 		return nil, &fault{http.StatusMethodNotAllowed, "a query is a POST"}
 	}
-	if c := m.Get("x-class"); c != "" && c != name {
-		return nil, bad("X-Class and the path name two classes")
+	for _, h := range []string{"x-class", "x-request-id", "x-deadline-ms", "idempotency-key"} {
+		if m.Count(h) > 1 { // which of them counts would be anybody's guess
+			return nil, bad("%s: stands %d times", h, m.Count(h))
+		}
+	}
+	if m.Get("x-class") != name {
+		return nil, bad("X-Class and the path must name one class")
 	}
 	q := &broker.Query{Name: m.Get("x-request-id"), Class: class.Index, Retry: m.Get("x-retry") == "1", Came: now}
 	if err := query.CheckName("X-Request-Id", q.Name); err != nil {
@@ -63,7 +69,11 @@
 	if err != nil || ms == 0 {
 		return nil, bad("X-Deadline-Ms: want whole milliseconds above 0")
 	}
-	q.Budget = time.Duration(ms) * time.Millisecond
+	// No client of the class waits longer: a larger figure would only hold the
+	// query's place, here and while the program is told to stop.
+	if q.Budget = time.Duration(ms) * time.Millisecond; class.DeadlineMs > 0 {
+		q.Budget = min(q.Budget, time.Duration(class.DeadlineMs*float64(time.Millisecond)))
+	}
 	if class.Keyed {
 		q.Key = m.Get("idempotency-key")
 		if err := query.CheckName("Idempotency-Key", q.Key); err != nil {
@@ -92,6 +102,9 @@
 	case broker.Served:
 		a := answer{Whole: r.Whole, Results: make([]result, len(r.Values))}
 		for i, v := range r.Values {
+			if !utf8.Valid(v.Data) { // the encoder would replace what is not: no node made that value
+				return encode(dst, http.StatusBadGateway, "a value is no text", 0, last)
+			}
 			a.Results[i] = result{v.Shard, string(v.Data)}
 		}
 		data, err := json.Marshal(a)
@@ -103,6 +116,8 @@
 		return encode(dst, http.StatusServiceUnavailable, "refused", r.RetryAfter, last)
 	case broker.Expired:
 		return encode(dst, http.StatusGatewayTimeout, "out of time", 0, last)
+	case broker.Duplicate:
+		return encode(dst, http.StatusConflict, "a request of this id is open", 0, last)
 	}
 	return encode(dst, http.StatusInternalServerError, "failed", 0, last)
 }
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -117,7 +117,7 @@
 )
 
 func post(path, headers, body string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n" + chunks(body)
+	return "POST " + path + " HTTP/1.1\r\nHost: a\r\nX-Class: " + path[1:] + "\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n" + chunks(body)
 }
 
 func chunks(body string) string {
@@ -140,7 +140,17 @@
 		{"ready posted", "POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405, false},
 		{"no class", post("/nothing", heads, good), 404, false},
 		{"not posted", "GET /screen HTTP/1.1\r\n\r\n", 405, false},
-		{"two classes", post("/screen", heads+"X-Class: edit\r\n", good), 400, false},
+		{"two classes", post("/screen", heads+"X-Class: screen\r\n", good), 400, false},
+		{"a class and a path that differ", strings.Replace(post("/screen", heads, good), "X-Class: screen", "X-Class: edit", 1), 400, false},
+		{"no class beside the path", strings.Replace(post("/screen", heads, good), "X-Class: screen\r\n", "", 1), 400, false},
+		{"two ids", post("/screen", heads+"X-Request-Id: q2\r\n", good), 400, false},
+		{"no deadline in words", post("/screen", "X-Request-Id: a\r\nX-Deadline-Ms: soon\r\n", good), 400, false},
+		{"a deadline before now", post("/screen", "X-Request-Id: a\r\nX-Deadline-Ms: -5\r\n", good), 400, false},
+		{"shares over one in all", post("/screen", heads, `{"targets":[{"partition":1,"share":0.9},{"partition":2,"share":0.9}],"query":"x"}`), 400, false},
+		{"shares under one in all", post("/screen", heads, `{"targets":[{"partition":1,"share":0.2},{"partition":2,"share":0.2}],"query":"x"}`), 400, false},
+		{"a share below zero", post("/screen", heads, `{"targets":[{"partition":1,"share":-0.5},{"partition":2,"share":1}],"query":"x"}`), 400, false},
+		{"a text that is no UTF-8", post("/screen", heads, "{\"targets\":[{\"partition\":1,\"share\":1}],\"query\":\"\xff\"}"), 400, false},
+		{"a length and chunks", "POST /screen HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + post("/screen", heads, good), 400, true},
 		{"no id", post("/screen", "X-Deadline-Ms: 480\r\n", good), 400, false},
 		{"no deadline", post("/screen", "X-Request-Id: a\r\n", good), 400, false},
 		{"deadline no number", post("/screen", "X-Request-Id: a\r\nX-Deadline-Ms: 1e3\r\n", good), 400, false},
@@ -192,6 +202,8 @@
 		{broker.Reply{Verdict: broker.Refused, RetryAfter: 1234 * time.Millisecond}, 503, "refused\n", "1.234"},
 		{broker.Reply{Verdict: broker.Failed}, 500, "failed\n", ""},
 		{broker.Reply{Verdict: broker.Expired}, 504, "out of time\n", ""},
+		{broker.Reply{Verdict: broker.Duplicate}, 409, "a request of this id is open\n", ""},
+		{broker.Reply{Verdict: broker.Served, Values: []broker.Value{{Shard: 3, Data: []byte("\xff")}}}, 502, "a value is no text\n", ""},
 	} {
 		if _, err := io.WriteString(conn, post("/edit", heads, good)); err != nil {
 			t.Fatal(err)
--- a/internal/flightwire/flightwire.go
+++ b/internal/flightwire/flightwire.go
@@ -29,6 +29,13 @@
 	EndFull = "full"
 )
 
+// Bounds of one answer that is read: a node that goes on sending must not fill
+// the memory.
+const (
+	maxRows  = 1024
+	maxBytes = 1 << 20
+)
+
 // QueryTicket is a query; targets and query are as in the platform's body.
 type QueryTicket struct {
 	ID    string `json:"id"`
@@ -102,6 +109,7 @@
 	if v, ok := r.Schema().Metadata().GetValue(WholeKey); ok {
 		whole = v == "true"
 	}
+	size := 0
 	for r.Next() {
 		rec := r.RecordBatch()
 		parts, ok1 := rec.Column(0).(*array.Int32)
@@ -109,6 +117,12 @@
 		if !ok1 || !ok2 || parts.NullN()+data.NullN() > 0 {
 			return false, nil, errors.New("reading the answer: a column is not of its type or has nulls")
 		}
+		for i := range parts.Len() {
+			size += data.ValueLen(i)
+		}
+		if len(values)+parts.Len() > maxRows || size > maxBytes {
+			return false, nil, errors.New("reading the answer: too large")
+		}
 		for i := range parts.Len() {
 			values = append(values, broker.Value{Shard: int(parts.Value(i)), Data: append([]byte(nil), data.Value(i)...)})
 		}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -47,6 +47,17 @@
 	return ""
 }
 
+// Count says how many headers of a name there are.
+func (m *Message) Count(name string) int {
+	n := 0
+	for _, h := range m.Headers {
+		if h.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
 type state uint8
 
 const (
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -3,8 +3,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"strconv"
+	"unicode/utf8"
 
 	"onyxsail/broker"
 )
@@ -12,6 +15,9 @@
 const (
 	maxParts = 1024
 	maxName  = 128 // bytes of a query's id or key
+	// The shares of the parts make up the whole. They are rounded by whoever
+	// wrote them: so much may be missing, and so much more for each part.
+	sumSlack, partSlack = 1e-3, 1e-4
 )
 
 // Class is what a front knows of a class.
@@ -38,6 +44,9 @@
 // not 0, bounds the shards' numbers. Errors name the field.
 func DecodeBody(q *broker.Query, data []byte, shards int) error {
 	var b body
+	if !utf8.Valid(data) { // the decoder would replace what is not, and the text must arrive unchanged
+		return errors.New("body: not in UTF-8")
+	}
 	if err := json.Unmarshal(data, &b); err != nil {
 		return fmt.Errorf("body: %w", err)
 	}
@@ -48,7 +57,7 @@
 		return fmt.Errorf("targets: %d of them, want 1 to %d", len(b.Targets), maxParts)
 	}
 	q.Text = []byte(*b.Query)
-	seen := make(map[int]bool, len(b.Targets))
+	seen, sum := make(map[int]bool, len(b.Targets)), 0.0
 	for i, t := range b.Targets {
 		if t.Partition == nil || *t.Partition < 0 || shards > 0 && *t.Partition >= shards || seen[*t.Partition] {
 			return fmt.Errorf("targets[%d].partition: want a shard, each once", i)
@@ -57,6 +66,7 @@
 			return fmt.Errorf("targets[%d].share: want a number from 0 to 1", i)
 		}
 		seen[*t.Partition] = true
+		sum += *t.Share
 		p := broker.Part{Shard: *t.Partition, Share: *t.Share}
 		if t.EstUs != nil {
 			if !(*t.EstUs >= 0 && *t.EstUs < 1e12) {
@@ -73,6 +83,9 @@
 		}
 		q.Parts = append(q.Parts, p)
 	}
+	if math.Abs(sum-1) > sumSlack+partSlack*float64(len(b.Targets)) {
+		return fmt.Errorf("targets: the shares add up to %.4g, want 1", sum)
+	}
 	return nil
 }
 
--- a/internal/testkit/nodes.go
+++ b/internal/testkit/nodes.go
@@ -44,8 +44,15 @@
 	Full   = "full"
 	Break  = "break"  // cut the connection in the middle of the answer
 	Silent = "silent" // answer nothing until the part is given up
+	Raw    = "raw:"   // write what follows as it is
 )
 
+// Frame renders one frame of the nodes' protocol.
+func Frame(letter byte, rest string) string {
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
+	return string(append(append(b, letter), rest...))
+}
+
 // Node is a stand-in for a node of either kind.
 type Node struct {
 	ID, Addr string
@@ -182,12 +189,12 @@
 	defer n.note(func() { delete(n.conns, c) })
 	defer c.Close()
 	var writing sync.Mutex
-	send := func(letter byte, rest string) {
+	write := func(text string) {
 		writing.Lock()
 		defer writing.Unlock()
-		b := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
-		_, _ = c.Write(append(append(b, letter), rest...)) // the other side may have gone
+		_, _ = io.WriteString(c, text) // the other side may have gone
 	}
+	send := func(letter byte, rest string) { write(Frame(letter, rest)) }
 	in := bufio.NewReader(c)
 	for {
 		var size uint32
@@ -213,7 +220,12 @@
 				}
 				call.Text, rest = after[:size], after[size:]
 				go func() {
-					switch end := n.begin(call); end {
+					end := n.begin(call)
+					if raw, ok := strings.CutPrefix(end, Raw); ok {
+						write(raw)
+						return
+					}
+					switch end {
 					case Silent:
 					case Break:
 						_, _ = c.Write([]byte{0, 0, 0, 40, 'R'}) // a frame cut short
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -22,6 +23,21 @@
 	// stuckFor is how long written bytes may wait for a full socket before the
 	// connection counts as broken.
 	stuckFor = 250 * time.Millisecond
+	// halfFor is how long a frame that has begun may come to nothing: a length
+	// that says too much never ends, and what waits behind it waits in vain.
+	halfFor = 300 * time.Millisecond
+	// complainEvery is how often one node's spoilt answers are logged.
+	complainEvery = 10 * time.Second
+	// A connection is silent once parts have waited on it for silentTimes the
+	// node's usual answer, and silentLeast, with nothing read.
+	silentTimes = 8
+	silentLeast = 30 * time.Millisecond
+	// deadFor is how long a silent connection may carry parts while its node
+	// speaks on another, and how long it stays open without any.
+	deadFor = 250 * time.Millisecond
+	// maxSilent silent connections tell that the node is silent: more help no one.
+	maxSilent = 2
+	smooth    = 0.1 // weight of one answer in a node's usual time
 	// idleShare of the server's idle time is when we close first: a request that
 	// crosses the server's own close would end as a reset.
 	idleShare = 0.7
@@ -55,6 +71,12 @@
 	id, addr string
 	listed   bool
 	conns    []*conn
+
+	usual time.Duration // smoothed time of an answer
+	heard time.Time     // when it was last read from, on any connection
+
+	complained time.Time // when its spoilt answers were logged last
+	unsaid     int       // how many were not since
 }
 
 type conn struct {
@@ -69,11 +91,16 @@
 	probes    []time.Time
 	used      time.Time
 	stuck     time.Time // since when bytes have waited
+	heard     time.Time // when it was last read from
+	waiting   time.Time // since when parts wait with nothing read; zero: none do
+	spoilt    bool      // it sent what cannot be read
+	last      string    // id of the latest answer
 }
 
 // call is one attempt that is out.
 type call struct {
 	broker.Attempt
+	sent time.Time
 	id   string
 	on   *conn
 	end  int64 // position of its frame's last byte, 0 before it is queued
@@ -169,11 +196,21 @@
 
 // choose finds a connection with room, an open one before one in the making.
 // One that has given up the same part, or still carries it, would mix up the
-// answers; one with bytes waiting may be cut off.
+// answers; one with bytes waiting may be cut off. One that is silent may be cut
+// off without a word: what is sent there would only time out. It is used again
+// once it speaks, or where so many are silent that it must be the node.
 func (n *node) choose(streams int, calls []broker.Attempt) *conn {
-	var best *conn
+	var best, mute *conn
+	silent, now := 0, time.Now()
 	for _, cn := range n.conns {
-		if cn.gone || cn.addr != n.addr || len(cn.calls)+len(calls) > max(streams, len(calls)) ||
+		if cn.gone || cn.spoilt || cn.addr != n.addr {
+			continue
+		}
+		quiet := cn.silent(now)
+		if quiet {
+			silent++
+		}
+		if len(cn.calls)+len(calls) > max(streams, len(calls)) ||
 			len(cn.abandoned) >= maxAbandoned || cn.sock != nil && cn.sock.Backlog() > 0 {
 			continue
 		}
@@ -183,13 +220,25 @@
 			_, off := cn.abandoned[id]
 			clash = clash || off || cn.calls[id] != nil
 		}
-		if !clash && (best == nil || best.sock == nil && cn.sock != nil) {
+		switch {
+		case clash:
+		case quiet:
+			mute = cn // the latest one
+		case best == nil || best.sock == nil && cn.sock != nil:
 			best = cn
 		}
 	}
+	if best == nil && silent >= maxSilent {
+		return mute
+	}
 	return best
 }
 
+// silent says whether parts have waited on the connection for unusually long.
+func (cn *conn) silent(now time.Time) bool {
+	return cn.sock != nil && !cn.waiting.IsZero() && now.Sub(cn.waiting) > max(silentLeast, silentTimes*cn.node.usual)
+}
+
 func (c *Client) dial(n *node) *conn {
 	if c.conns >= c.opts.MaxConns {
 		c.opts.Log.Warn().Str("event", "pool-full").Str("node", n.id).Int("conns", c.conns).
@@ -259,9 +308,12 @@
 	end, err := cn.sock.Write(appendCall(nil, out))
 	for i := range out {
 		if cl := cn.calls[partID(&out[i])]; cl != nil {
-			cl.end, cl.mate = end, nil
+			cl.end, cl.mate, cl.sent = end, nil, cn.used
 		}
 	}
+	if cn.waiting.IsZero() {
+		cn.waiting = cn.used
+	}
 	if err != nil {
 		cn.sock.Close()
 	}
@@ -286,10 +338,13 @@
 			}
 		}
 	}
-	if cl.end == 0 || cn.gone {
+	if cl.end == 0 || cn.gone || cn.spoilt {
 		return
 	}
 	cn.used = time.Now()
+	if len(cn.calls) == 0 && !cn.silent(cn.used) {
+		cn.waiting = time.Time{} // the node may answer nothing more, rightly
+	}
 	cn.abandoned[cl.id] = struct{}{}
 	if _, err := cn.sock.Write(appendCancel(nil, cl.id)); err != nil {
 		cn.sock.Close()
@@ -346,25 +401,63 @@
 		return
 	}
 	cn.used = time.Now()
-	cn.buf = append(cn.buf, b...)
-	for {
-		letter, rest, n, err := nextFrame(cn.buf)
-		if err == nil && n == 0 {
-			break
+	cn.heard, cn.node.heard, cn.waiting = cn.used, cn.used, time.Time{}
+	defer func() {
+		if len(cn.calls) > 0 {
+			cn.waiting = cn.used
 		}
-		if err == nil {
-			err = cn.frame(letter, rest)
-			cn.buf = cn.buf[n:]
+	}()
+	cn.buf = append(cn.buf, b...)
+	for rest := cn.buf; ; {
+		letter, body, n, err := nextFrame(rest)
+		if err == nil && n > 0 {
+			err = cn.frame(letter, body)
+			rest = rest[n:]
 		}
 		if err != nil {
-			cn.c.opts.Log.Warn().Str("event", "frame").Str("node", cn.node.id).Err(err).
-				Msg("a node sent what cannot be read; its connection is closed")
-			cn.sock.Close()
+			cn.spoil(err)
+			return
+		}
+		if n == 0 {
+			if cn.buf = append(cn.buf[:0], rest...); len(rest) == 0 {
+				cn.buf = nil
+			}
 			return
 		}
 	}
-	if len(cn.buf) == 0 {
-		cn.buf = nil
+}
+
+// spoil ends a connection whose stream cannot be read any further; c.mu is
+// held. Nothing that is out on it will get an answer, and all of it may have
+// run: one attempt has failed, its node's fault, and the others are called off.
+// Where nothing is out, more than an answer came behind a good one.
+func (cn *conn) spoil(err error) {
+	if cn.gone || cn.spoilt {
+		return
+	}
+	cn.spoilt = true
+	n, now := cn.node, time.Now()
+	if n.unsaid++; now.Sub(n.complained) >= complainEvery { // a noisy node must not flood the log
+		cn.c.opts.Log.Warn().Str("event", "frame").Str("node", n.id).Int("waiting", len(cn.calls)).Int("times", n.unsaid).
+			Err(err).Msg("a node sent what cannot be read; its connection is closed")
+		n.complained, n.unsaid = now, 0
+	}
+	cn.drop(decide.Failed)
+}
+
+// drop closes the connection and ends what had left on it, the first with the
+// given outcome and the others as called off; all of it may have run.
+func (cn *conn) drop(outcome decide.Outcome) {
+	written := cn.sock.Written()
+	cn.sock.Close()
+	for id, cl := range cn.calls {
+		if cl.end == 0 || cl.end > written {
+			continue // never whole at the node: Closed tells it so
+		}
+		delete(cn.calls, id)
+		delete(cn.c.where, cl.ID)
+		cn.c.opts.Sink.Outcome(cl.ID, outcome, nil)
+		outcome = decide.Cancelled
 	}
 }
 
@@ -375,21 +468,22 @@
 		if err != nil {
 			return err
 		}
-		delete(cn.abandoned, r.id)
 		cl := cn.calls[r.id]
-		if cl == nil {
-			return nil // it was given up
+		if _, off := cn.abandoned[r.id]; cl == nil && !off && r.id != cn.last {
+			return fmt.Errorf("%w: the answer of part %.80q, which is not out", errFrame, r.id)
+		}
+		delete(cn.abandoned, r.id)
+		if cn.last = r.id; cl == nil {
+			return nil // it was given up, or is a copy of the latest answer
 		}
 		delete(cn.calls, r.id)
 		delete(cn.c.where, cl.ID)
-		outcome := decide.Failed
-		switch r.end {
-		case "done":
-			outcome = decide.OK
-		case "full":
-			outcome = decide.Rejected
-		}
-		cn.c.opts.Sink.Outcome(cl.ID, outcome, r.value)
+		if took := cn.heard.Sub(cl.sent); cn.node.usual == 0 {
+			cn.node.usual = took
+		} else {
+			cn.node.usual += time.Duration(smooth * float64(took-cn.node.usual))
+		}
+		cn.c.opts.Sink.Outcome(cl.ID, r.end, r.value)
 	case 'H', 'M':
 		if len(cn.probes) > 0 {
 			sent := cn.probes[0]
@@ -401,8 +495,7 @@
 			cn.c.opts.Sink.Probed(cn.node.id, outcome, time.Since(sent))
 		}
 	case 'F':
-		cn.c.opts.Log.Error().Str("event", "refused-frame").Str("node", cn.node.id).Bytes("words", rest).
-			Msg("a node could not use a frame of ours")
+		return fmt.Errorf("a node could not use a frame of ours: %.200q", rest)
 	default:
 		return errFrame
 	}
@@ -471,7 +564,21 @@
 }
 
 func (cn *conn) look(now time.Time) {
-	if cn.sock == nil || cn.gone {
+	if cn.sock == nil || cn.gone || cn.spoilt {
+		return
+	}
+	if len(cn.buf) > 0 && now.Sub(cn.heard) > halfFor {
+		cn.spoil(fmt.Errorf("%w: %d bytes of one that never became whole", errFrame, len(cn.buf)))
+		return
+	}
+	if quiet := now.Sub(cn.waiting); cn.silent(now) && quiet > deadFor &&
+		(len(cn.calls) == 0 || cn.node.heard.Sub(cn.waiting) > deadFor) {
+		// The node speaks, but not here: a machine between may have forgotten the
+		// connection. Its parts need not wait for their time-outs.
+		cn.c.opts.Log.Info().Str("event", "silent").Str("node", cn.node.id).Int("waiting", len(cn.calls)).
+			Dur("quiet", quiet).Msg("a connection has gone silent; it is closed")
+		cn.spoilt = true
+		cn.drop(decide.Cancelled)
 		return
 	}
 	if cn.sock.Backlog() == 0 {
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -35,6 +35,10 @@
 		{name: "whole", in: frame("Rabc"), letter: 'R', n: 8},
 		{name: "no letter", in: []byte{0, 0, 0, 0}, bad: true},
 		{name: "too long", in: []byte{0, 16, 0, 1, 'R'}, bad: true},
+		{name: "3 GB", in: []byte{0xb2, 0xd0, 0x5e, 0}, bad: true},
+		{name: "unknown letter", in: frame("Qabc")[:5], bad: true},
+		{name: "a line that does not end", in: append([]byte{0, 0, 0xea, 0x60, 'R'}, strings.Repeat("x", maxLine)...), bad: true},
+		{name: "a probe's answer too long", in: []byte{0, 0, 8, 0, 'H'}, bad: true},
 	} {
 		letter, _, n, err := nextFrame(c.in)
 		if letter != c.letter || n != c.n || (err != nil) != c.bad {
@@ -42,8 +46,11 @@
 		}
 	}
 	for in, want := range map[string]*result{
-		"a.3 done 1840 -\nvalue": {"a.3", "done", []byte("value")}, "a.3 full 1 -\n": {"a.3", "full", []byte{}},
-		"a.3 done 1 x,y\n\n": {"a.3", "done", []byte("\n")}, "a.3 done 1 -": nil, "a.3 done\n": nil, " done 1 -\n": nil,
+		"a.3 done 1840 -\nvalue": {"a.3", decide.OK, []byte("value")}, "a.3 full 1 -\n": {"a.3", decide.Rejected, []byte{}},
+		"a.3 failed 1 -\n": {"a.3", decide.Failed, []byte{}}, "a.3 done 1 x,y\n\n": {"a.3", decide.OK, []byte("\n")},
+		"a.3 done 1 \xff what is this\nv": {"a.3", decide.OK, []byte("v")}, // a report that can't be read spoils nothing
+		"a.3 done 1 -":                    nil, "a.3 done\n": nil, " done 1 -\n": nil, "a.3 gone 1 -\nv": nil, "a.3 done x -\nv": nil,
+		"a.3 done 1 -\nv\xff": nil, "a.3 done 1 -\nv\x00\x00\x00\x10Ra.4 done": nil,
 	} {
 		got, err := parseResult([]byte(in))
 		if (err != nil) != (want == nil) || want != nil && !reflect.DeepEqual(got, *want) {
@@ -190,6 +197,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		cn = c.nodes["n"].conns[0]
+		cn.node.usual = time.Minute // so that it does not count as silent
 		return cn.sock != nil && cn.sock.Written() > 0
 	})
 	big := attempt(2)
@@ -231,3 +239,94 @@
 		t.Error("the part went to the old address")
 	}
 }
+
+// A spoilt answer ends its connection at once. Each part on it has its one
+// outcome, all of which may have run, and only one counts as the node's fault.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, raw := range map[string]string{
+		"noise":                         "\xde\xad\xbe\xef\xde\xad\xbe\xef",
+		"a letter nobody knows":         testkit.Frame('Z', "q.2 done 1 -\nv"),
+		"an end nobody knows":           testkit.Frame('R', "q.2 gone 1 -\nv"),
+		"an id that is not out":         testkit.Frame('R', "other.2 done 1 -\nv"),
+		"a line that does not end":      testkit.Frame('R', strings.Repeat("x", 4<<10)),
+		"a length that says too much":   "\x00\x00\x00\xffRq.2 done 1 -\nv",
+		"a length that says too little": "\x00\x00\x00\x03Rq.2 done 1 -\nv",
+		"a value of 3 GB":               "\xb2\xd0\x5e\x00Rq.2 done 1 -\n" + strings.Repeat("v", 1<<20),
+		"a value swallows the next":     "\x00\x00\x00\x20Rq.2 done 1 -\nv" + testkit.Frame('R', "q.1 done 1 -\nv"),
+	} {
+		c, s := client(t, 8, 0)
+		n := testkit.NewNode(t, "n", false)
+		n.Always(testkit.Silent)
+		c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+		c.send("n", attempt(1))
+		n.Wait(t, "the first part", func() bool { return len(n.Calls()) == 1 })
+		n.Always(testkit.Raw + raw)
+		c.send("n", attempt(2))
+		testkit.Eventually(t, name+": both have ended and the connection is closed", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.got) == 2 && c.open() == 0
+		})
+		if got := []decide.Outcome{s.got[1], s.got[2]}; s.twice ||
+			!reflect.DeepEqual(got, []decide.Outcome{decide.Failed, decide.Cancelled}) &&
+				!reflect.DeepEqual(got, []decide.Outcome{decide.Cancelled, decide.Failed}) {
+			t.Errorf("%s: outcomes %v, twice %v", name, got, s.twice)
+		}
+		n.Always(testkit.Done)
+		c.send("n", attempt(3))
+		s.wait(t, 3, decide.OK)
+	}
+}
+
+// What comes behind a good answer, or stands in its report, takes nothing from it.
+func TestGoodAnswersWithMore(t *testing.T) {
+	good := testkit.Frame('R', "q.1 done 1 -\nv")
+	for name, raw := range map[string]string{
+		"a copy":      good + good,
+		"noise":       good + "\xde\xad\xbe\xef\xde\xad\xbe\xef",
+		"half a copy": good + good[:9],
+		"its report":  testkit.Frame('R', "q.1 done 1 \xff\xfe 7 ,,=\nv"),
+	} {
+		c, s := client(t, 8, 0)
+		n := testkit.NewNode(t, "n", false)
+		n.Always(testkit.Raw + raw)
+		c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+		c.send("n", attempt(1))
+		s.wait(t, 1, decide.OK)
+		n.Always(testkit.Done)
+		c.send("n", attempt(2))
+		testkit.Eventually(t, name+": the next part ends", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.got) == 2
+		})
+	}
+}
+
+// A connection that answers nothing while its node speaks on another gets no
+// new parts, and those on it end before their time-outs.
+func TestSilentConnection(t *testing.T) {
+	c, s := client(t, 8, 0)
+	n := testkit.NewNode(t, "n", false)
+	n.Always(testkit.Silent)
+	c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+	c.send("n", attempt(1))
+	n.Wait(t, "the first part", func() bool { return len(n.Calls()) == 1 })
+	n.Always(testkit.Done)
+	testkit.Eventually(t, "it counts as silent", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.nodes["n"].conns[0].silent(time.Now())
+	})
+	id := 2
+	testkit.Eventually(t, "the silent connection is closed", func() bool {
+		c.send("n", attempt(id)) // the node speaks on another
+		s.wait(t, broker.AttemptID(id), decide.OK)
+		id++
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, ended := s.got[1]
+		return ended
+	})
+	s.wait(t, 1, decide.Cancelled)
+}
--- a/nodeclient/frame.go
+++ b/nodeclient/frame.go
@@ -6,23 +6,33 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"unicode/utf8"
 
 	"onyxsail/broker"
+	"onyxsail/decide"
 )
 
-// maxFrame bounds what a node may send as one frame.
-const maxFrame = 1 << 20
+// Bounds of what a node may send. A client's whole answer holds at most 64 KiB,
+// so no value of a part may be larger.
+const (
+	maxValue = 64 << 10
+	maxLine  = 1 << 10
+	maxFrame = 1 + maxLine + maxValue
+)
 
 var errFrame = errors.New("malformed frame")
 
-// result is one R frame.
+// result is one R frame. The report of the load, which the platform's nodes
+// leave empty, is not read.
 type result struct {
-	id, end string
-	value   []byte
+	id    string
+	end   decide.Outcome
+	value []byte
 }
 
 // nextFrame splits the first whole frame off b. n is what it took; 0 means
-// that more is needed.
+// that more is needed. What can be told from the first bytes is not waited for:
+// a length or a letter that can't be, a line that does not end.
 func nextFrame(b []byte) (letter byte, rest []byte, n int, err error) {
 	if len(b) < 4 {
 		return 0, nil, 0, nil
@@ -31,21 +41,51 @@
 	if size < 1 || size > maxFrame {
 		return 0, nil, 0, fmt.Errorf("%w: length %d", errFrame, size)
 	}
+	if len(b) < 5 {
+		return 0, nil, 0, nil
+	}
 	n = 4 + int(size)
+	head := b[5:min(n, len(b))]
+	switch letter = b[4]; letter {
+	case 'R':
+		if line := head[:min(maxLine, len(head))]; len(head) >= maxLine && bytes.IndexByte(line, '\n') < 0 {
+			return 0, nil, 0, fmt.Errorf("%w: a line over %d bytes", errFrame, maxLine)
+		}
+	case 'H', 'M', 'F':
+		if size > maxLine {
+			return 0, nil, 0, fmt.Errorf("%w: %q of %d bytes", errFrame, letter, size)
+		}
+	default:
+		return 0, nil, 0, fmt.Errorf("%w: letter %q", errFrame, letter)
+	}
 	if len(b) < n {
 		return 0, nil, 0, nil
 	}
-	return b[4], b[5:n], n, nil
+	return letter, b[5:n], n, nil
 }
 
-// parseResult reads the rest of an R frame; the value is a copy.
+// ends are the words for how a part ended.
+var ends = map[string]decide.Outcome{"done": decide.OK, "failed": decide.Failed, "full": decide.Rejected}
+
+// parseResult reads the rest of an R frame; the value is a copy. All of the
+// line but the report must be right: an answer of which one word is spoilt may
+// be spoilt in its value too, and that must not be served.
 func parseResult(rest []byte) (result, error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
-	words := bytes.Split(line, []byte{' '})
+	words := bytes.SplitN(line, []byte{' '}, 4)
 	if !ok || len(words) != 4 || len(words[0]) == 0 {
 		return result{}, fmt.Errorf("%w: result line %.80q", errFrame, line)
 	}
-	return result{string(words[0]), string(words[1]), bytes.Clone(value)}, nil
+	end, known := ends[string(words[1])]
+	if _, err := strconv.ParseFloat(string(words[2]), 64); err != nil || !known {
+		return result{}, fmt.Errorf("%w: result line %.80q", errFrame, line)
+	}
+	// A value stands in a JSON text to the client, so it is text. A wrong length
+	// that swallows the next frame shows by that one's length, which has a zero.
+	if len(value) > maxValue || !utf8.Valid(value) || bytes.IndexByte(value, 0) >= 0 {
+		return result{}, fmt.Errorf("%w: value of %d bytes that is no text", errFrame, len(value))
+	}
+	return result{string(words[0]), end, bytes.Clone(value)}, nil
 }
 
 // partID is the id of a part on this wire.
