Ask nodes that fail at once first while the others of their cell are loaded

Changed: pick compares the time expected, tries elsewhere counted, and takes the failing node where that is less; only safe parts that keep a try for another node.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	letIn     = 5    // shortest aims without news over which latencies fade to calm: few tries go in vain
 	trialPart = 10   // one part in so many, and one, may try a replica in doubt
 	trialGap  = 8.0  // typical latencies before a suspect replica is tried again
+	flakyMost = 0.95 // a replica that fails parts at once may be asked first while it fails no larger share
 
 	roomAim   = 0.8  // on a pressed fleet a query of usual worth must be predicted within this share of its aim
 	roomLeast = 0.5  // and one of little worth within this share: the first to go
@@ -64,6 +65,7 @@
 	turn       uint64  // sends of one turn to one replica share a call
 	open       bool    // its outcome has not come
 	off, unrun bool    // cancelled; proved never to have run
+	quick      bool    // failed in a small part of a usual answer's time
 	until      float64 // ended without an answer, its work may go on until then
 }
 
@@ -102,6 +104,7 @@
 	bad               float64   // evidence of failure, 0 to 1
 	shunned           []float64 // by class: till when, as it lost a part while it answered others
 	mute              bool      // suspect for its silence, which any answer ends
+	fails, failMs     float64   // smoothed share of attempts that fail, and how soon they do
 	trialAt           float64   // when a suspect gets its next trial
 }
 
@@ -290,6 +293,7 @@
 			r.learn(a, age)
 		}
 		r.good(h)
+		h.fails -= smooth * h.fails
 		h.shunned[p.q.class] = 0
 		if e.Attempt == 0 && !a.off && r.stalled == 0 {
 			c.sample(age)
@@ -309,7 +313,13 @@
 			r.waryTo = r.now + warySpan*r.aim
 		}
 		r.fault(h)
-	case Failed, Unreachable, Rejected:
+	case Failed:
+		h.fails += smooth * (1 - h.fails)
+		a.quick = age < r.typical/2
+		h.failMs = cmp.Or(h.failMs, age)
+		h.failMs += smooth * (age - h.failMs)
+		r.fault(h)
+	case Unreachable, Rejected:
 		r.fault(h)
 	}
 	if a.until <= r.now {
@@ -492,14 +502,38 @@
 		case r.now < h.shunned[p.q.class]:
 			rank = 2
 		}
-		score := h.level * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals
-		if h.Zone != r.s.Zone {
-			score *= 1 + zoneCare*r.s.PriceCross
-		}
+		score := r.score(h)
 		if rank < bestRank || rank == bestRank && score < bestScore {
 			best, bestRank, bestScore = h, rank, score
 		}
 	}
+	if best != nil && bestRank > 0 && r.mayCopy(p) && len(p.tries)+2 <= cmp.Or(r.s.MaxAttempts, math.MaxInt) {
+		return r.flaky(p, best, bestScore)
+	}
+	return best
+}
+
+func (r *Root) score(h *replica) float64 {
+	score := h.level * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals
+	if h.Zone != r.s.Zone {
+		score *= 1 + zoneCare*r.s.PriceCross
+	}
+	return score
+}
+
+// flaky gives a replica that fails many parts, but at once, in place of best where the time expected is
+// shorter, the tries elsewhere counted: while all it can do is left to the others, they may be overloaded.
+func (r *Root) flaky(p *part, best *replica, bestScore float64) *replica {
+	least := bestScore
+	for _, h := range r.holders(p) {
+		if !h.suspect || h.mute || h.fails == 0 || h.fails > flakyMost || h.failMs > r.typical || h == best ||
+			slices.ContainsFunc(p.tries, func(a *attempt) bool { return a.at == h }) || !r.coldRoom(h) {
+			continue
+		}
+		if t := (1-h.fails)*r.score(h) + h.fails*(h.failMs+bestScore); t < least {
+			best, least = h, t
+		}
+	}
 	return best
 }
 
@@ -541,7 +575,7 @@
 // send opens an attempt of p at h. It times out when an answer would earn nothing more.
 func (r *Root) send(p *part, h *replica) {
 	a := &attempt{p: p, at: h, sent: r.now, woke: r.awake(), turn: r.turn, open: true}
-	if len(p.tries) > 0 {
+	if len(p.tries) > 0 && !r.cheap(p) {
 		r.extras = append(r.extras, r.now)
 	}
 	p.tries = append(p.tries, a)
@@ -554,6 +588,9 @@
 	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)})
 }
 
+// cheap says that p's last attempt failed at once: it cost next to nothing, so the next one is no extra work.
+func (r *Root) cheap(p *part) bool { return p.tries[len(p.tries)-1].quick }
+
 // callOff cancels what is still out of a part. A first send counts as its age, for Algorithm 1 too.
 func (r *Root) callOff(p *part) {
 	for i, a := range p.tries {
@@ -605,7 +642,7 @@
 			return
 		}
 		n, _ := p.running()
-		if p.got || n > 0 || len(p.tries) > 0 && (!r.mayRepeat(p) || !r.budget(1)) {
+		if p.got || n > 0 || len(p.tries) > 0 && (!r.mayRepeat(p) || !r.cheap(p) && !r.budget(1)) {
 			continue
 		}
 		if h := r.pick(p, false); h != nil {
