--- a/decide/decide.go
+++ b/decide/decide.go
@@ -527,7 +527,8 @@
 	least := bestScore
 	for _, h := range r.holders(p) {
 		if !h.suspect || h.mute || h.fails == 0 || h.fails > flakyMost || h.failMs > r.typical || h == best ||
-			slices.ContainsFunc(p.tries, func(a *attempt) bool { return a.at == h }) || !r.coldRoom(h) {
+			slices.ContainsFunc(p.tries, func(a *attempt) bool { return a.at == h }) || !r.coldRoom(h) ||
+			r.s.HasBudget && !r.budget(copyShare) {
 			continue
 		}
 		if t := (1-h.fails)*r.score(h) + h.fails*(h.failMs+bestScore); t < least {
@@ -588,8 +589,9 @@
 	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)})
 }
 
-// cheap says that p's last attempt failed at once: it cost next to nothing, so the next one is no extra work.
-func (r *Root) cheap(p *part) bool { return p.tries[len(p.tries)-1].quick }
+// cheap says that p's last attempt failed at once: it cost next to nothing, so the next one is no extra work,
+// unless the told budget counts it.
+func (r *Root) cheap(p *part) bool { return !r.s.HasBudget && p.tries[len(p.tries)-1].quick }
 
 // callOff cancels what is still out of a part. A first send counts as its age, for Algorithm 1 too.
 func (r *Root) callOff(p *part) {
