Blame no query or node for connections that break under nodes that live on

Nodes closed 959 connections behind an answer, and 128 parts were written to those. Queries held up by a node in doubt taught class.slip, which tripled predictions for all: queries predicted at 79 ms were refused with 10 open.

Changed: a node that answers after its connection broke has lived on; where those outnumber the ones that refuse the next attempt by four to one, a broken attempt blames no query, and its node only if it has not answered since the last. Queries let down by a suspect teach no slip. The node client looks for the end of the stream before it chooses a connection.

What is left there are pauses of up to a quarter of an aim at several nodes of one cell.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,8 @@
 	suspectAt = 0.5  // two failures close together pass it, one does not
 	groupBad  = 0.7  // share of a zone and kind's attempts without answer at which all of it is doubted
 	trustAt   = 0.2  // two or three answers in a row restore trust
+	livedMin  = 1.5  // so many broken connections, each with an answer after it,
+	livedPer  = 4.0  // and so many for each that was refused next, tell nothing of the query
 	warySpan  = 20   // shortest aims for which what a replica died of may come again
 	letIn     = 5    // shortest aims without news over which latencies fade to calm: few tries go in vain
 	trialPart = 10   // one part in so many, and one, may try a replica in doubt
@@ -104,6 +106,7 @@
 	bad               float64   // evidence of failure, 0 to 1
 	shunned           []float64 // by class: till when, as it lost a part while it answered others
 	mute              bool      // suspect for its silence, which any answer ends
+	brokeAt           float64   // when a connection broke, till the next answer or refusal tells why
 	fails, failMs     float64   // smoothed share of attempts that fail, and how soon they do
 	trialAt           float64   // when a suspect gets its next trial
 }
@@ -151,6 +154,7 @@
 	usualV, seen           float64   // smoothed worth for work of the queries that come; how many
 	extras, taken          []float64 // times: further attempts, and what was taken in
 	came, sent, died       flow      // parts that came, sends, and attempts under which a replica died
+	lived, lost            flow      // replicas that answered again after a connection broke, or refused the next
 	average, typical, most float64   // mean and median latency of replicas; the most sent of late
 	aim, lastNews, waryTo  float64   // shortest aim of a class; the latest answer; till when a part goes ahead
 	fleet, calm            float64   // mean level of the groups; the typical one when little waits
@@ -293,6 +297,12 @@
 			r.learn(a, age)
 		}
 		r.good(h)
+		if h.brokeAt > 0 && a.sent > h.brokeAt {
+			h.brokeAt = 0
+			if r.lived.add(r.now); r.harmless() {
+				r.waryTo = 0
+			}
+		}
 		h.fails -= smooth * h.fails
 		h.shunned[p.q.class] = 0
 		if e.Attempt == 0 && !a.off && r.stalled == 0 {
@@ -308,18 +318,29 @@
 		r.late(a)
 		h.group.bad += smooth * (1 - h.group.bad)
 	case Broken:
-		p.q.broken++
-		if r.died.add(r.now); r.died.count > 1.5 {
-			r.waryTo = r.now + warySpan*r.aim
+		if !r.harmless() {
+			p.q.broken++
+			if r.died.add(r.now); r.died.count > 1.5 {
+				r.waryTo = r.now + warySpan*r.aim
+			}
+			r.fault(h)
+		} else if h.brokeAt > 0 { // it has not answered since
+			r.fault(h)
 		}
-		r.fault(h)
+		h.brokeAt = r.now
 	case Failed:
 		h.fails += smooth * (1 - h.fails)
 		a.quick = age < r.typical/2
 		h.failMs = cmp.Or(h.failMs, age)
 		h.failMs += smooth * (age - h.failMs)
 		r.fault(h)
-	case Unreachable, Rejected:
+	case Unreachable:
+		if h.brokeAt > 0 {
+			r.lost.add(r.now)
+		}
+		h.brokeAt = 0
+		r.fault(h)
+	case Rejected:
 		r.fault(h)
 	}
 	if a.until <= r.now {
@@ -364,6 +385,13 @@
 	c.mean += max(smooth, 1/float64(len(c.samples))) * (t - c.mean)
 }
 
+// harmless says that connections break of late under replicas that live on: then a broken attempt says nothing
+// of its query. A replica that dies under one refuses what comes next.
+func (r *Root) harmless() bool {
+	lived, lost := r.lived.value(r.now), r.lost.value(r.now)
+	return lived > livedMin && lived > livedPer*lost
+}
+
 // forget drops a part once nothing more can be heard of it.
 func (r *Root) forget(p *part) {
 	if n, _ := p.running(); p.dropped && n == 0 {
@@ -855,7 +883,7 @@
 
 // close forgets a query; what is still out is cancelled.
 func (r *Root) close(q *query) {
-	if len(q.parts) > 0 && len(q.parts[0].tries) > 0 && q.predicted > 0 {
+	if len(q.parts) > 0 && len(q.parts[0].tries) > 0 && q.predicted > 0 && !q.let() {
 		r.classes[q.class].ended(q, r.now, r.now > q.aim-2*endTicks*r.s.TickMs)
 	}
 	q.ended = true
@@ -865,6 +893,13 @@
 	r.dropParts(q)
 }
 
+// let says that q was let down by a replica now in doubt: its time tells nothing of queries that avoid that one.
+func (q *query) let() bool {
+	return slices.ContainsFunc(q.parts, func(p *part) bool {
+		return slices.ContainsFunc(p.tries, func(a *attempt) bool { return a.at.suspect })
+	})
+}
+
 // ended learns from a query that was taken in how its time compares with the predicted.
 func (c *class) ended(q *query, now float64, late bool) {
 	if q.second {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1396,3 +1396,85 @@
 		}
 	}
 }
+
+// Where connections break under replicas that live on, a broken attempt blames neither its query nor, the first
+// time, its replica; a replica that refuses the next attempt has died.
+func TestBrokenConnectionsUnderLivingReplicas(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		b := start(t, settings(), 3, 20)
+		for range 8 {
+			_, parts := b.query(0, 1)
+			b.step(0)
+			b.step(5)
+			b.done(parts[0], 0, Broken)
+			b.step(0)
+			for n := 1; n < len(b.where[parts[0]]); n++ {
+				b.step(20)
+				b.done(parts[0], n, OK)
+				b.step(0)
+			}
+			for range 6 { // others follow: the replica answers, or refuses
+				_, next := b.query(0, 2)
+				b.step(0)
+				b.step(20)
+				for _, p := range next {
+					for a := 0; a < len(b.where[p]); a++ {
+						if b.r.replicas[b.where[p][a]].brokeAt > 0 && dies {
+							b.done(p, a, Unreachable)
+						} else {
+							b.done(p, a, OK)
+						}
+						b.step(0)
+					}
+				}
+			}
+		}
+		if b.r.harmless() == dies {
+			t.Fatalf("dies %v: harmless %v", dies, b.r.harmless())
+		}
+		if dies {
+			continue
+		}
+		if b.now < b.r.waryTo {
+			t.Error("parts still go ahead one by one")
+		}
+		_, parts := b.query(0, 3)
+		b.step(0)
+		h := b.r.replicas[b.where[parts[0]][0]]
+		bad := h.bad
+		b.done(parts[0], 0, Broken)
+		b.step(0)
+		if h.bad > bad {
+			t.Error("the replica is blamed")
+		}
+		if b.out[parts[0]] != 2 || b.final[b.owner[parts[0]]] != 0 {
+			t.Errorf("the part has %d attempts, its query's end is %v", b.out[parts[0]], b.final[b.owner[parts[0]]])
+		}
+	}
+}
+
+// A query that a replica now in doubt has held up teaches nothing of those that avoid it.
+func TestQueriesLetDownTeachNoSlip(t *testing.T) {
+	b := start(t, settings(), 3, 20)
+	slip := b.r.classes[0].slip
+	_, parts := b.query(0, 3)
+	b.step(0)
+	b.step(20)
+	silentOne := parts[0]
+	for _, p := range parts[1:] {
+		b.done(p, 0, OK)
+	}
+	for len(b.where[silentOne]) < 2 || b.where[silentOne][1] == b.where[silentOne][0] {
+		b.step(20)
+		if b.now > 3000 {
+			t.Fatal("the part is not rescued")
+		}
+	}
+	b.step(20)
+	b.done(silentOne, 1, OK)
+	b.r.replicas[b.where[silentOne][0]].suspect = true
+	b.step(0)
+	if _, over := b.final[b.owner[silentOne]]; !over || b.r.classes[0].slip != slip {
+		t.Errorf("over %v, slip %v, was %v", over, b.r.classes[0].slip, slip)
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -144,3 +144,14 @@
 	}
 	return shutdownWrite(raw)
 }
+
+// HungUp says whether the other side has ended its stream, or the connection is
+// broken, though the loop may not have read that yet. With bytes still to be
+// read before the end it says no.
+func (c *Conn) HungUp() bool {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	return peekEnd(raw)
+}
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -168,7 +168,7 @@
 		c.never(calls)
 		return
 	}
-	cn := n.choose(c.opts.StreamsPerConn, calls)
+	cn := n.pick(c.opts.StreamsPerConn, calls)
 	if cn == nil {
 		if cn = c.dial(n); cn == nil {
 			c.never(calls)
@@ -194,6 +194,20 @@
 	}
 }
 
+// pick chooses a connection that the node has not closed. It may have, right
+// behind its last answer: a part sent there would end as a reset, and may not
+// be repeated then.
+func (n *node) pick(streams int, calls []broker.Attempt) *conn {
+	for {
+		cn := n.choose(streams, calls)
+		if cn == nil || cn.sock == nil || !cn.sock.HungUp() {
+			return cn
+		}
+		cn.spoilt = true
+		cn.sock.Close()
+	}
+}
+
 // choose finds a connection with room, an open one before one in the making.
 // One that has given up the same part, or still carries it, would mix up the
 // answers; one with bytes waiting may be cut off. One that is silent may be cut
@@ -360,7 +374,7 @@
 		c.opts.Sink.Probed(id, decide.Unreachable, 0)
 		return
 	}
-	cn := n.choose(c.opts.StreamsPerConn, nil)
+	cn := n.pick(c.opts.StreamsPerConn, nil)
 	if cn == nil {
 		if cn = c.dial(n); cn == nil {
 			c.opts.Sink.Probed(id, decide.Unreachable, 0)
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -330,3 +330,22 @@
 	})
 	s.wait(t, 1, decide.Cancelled)
 }
+
+// A connection that the node has closed behind its answer gets no part, though
+// the end has not been read yet: the part would be lost, and may have run.
+func TestClosedConnectionIsNotChosen(t *testing.T) {
+	c, s := client(t, 8, 0)
+	n := testkit.NewNode(t, "n", false)
+	c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+	c.send("n", attempt(1))
+	s.wait(t, 1, decide.OK)
+	c.mu.Lock() // holds back the news of the end
+	n.Cut()
+	cn := c.nodes["n"].pick(8, []broker.Attempt{attempt(2)})
+	c.mu.Unlock()
+	if cn != nil {
+		t.Error("the closed connection was chosen")
+	}
+	c.send("n", attempt(2))
+	s.wait(t, 2, decide.OK)
+}
