Send parts alone on connections to nodes that close them under parts that wait

Ruled out: frames of ours that nodes could not use (no F frame), spoilt answers, our own closing.

Changed: after a node has closed a connection under more than one part, its connections carry one part each for 5 s, renewed while it goes on; where no more may be opened, parts share again.

--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -37,7 +37,10 @@
 	deadFor = 250 * time.Millisecond
 	// maxSilent silent connections tell that the node is silent: more help no one.
 	maxSilent = 2
-	smooth    = 0.1 // weight of one answer in a node's usual time
+	// shyFor is how long parts go alone on their connections to a node that
+	// closes them under parts that wait.
+	shyFor = 5 * time.Second
+	smooth = 0.1 // weight of one answer in a node's usual time
 	// idleShare of the server's idle time is when we close first: a request that
 	// crosses the server's own close would end as a reset.
 	idleShare = 0.7
@@ -74,6 +77,7 @@
 
 	usual time.Duration // smoothed time of an answer
 	heard time.Time     // when it was last read from, on any connection
+	shy   time.Time     // until when no two parts share a connection
 
 	complained time.Time // when its spoilt answers were logged last
 	unsaid     int       // how many were not since
@@ -93,7 +97,8 @@
 	stuck     time.Time // since when bytes have waited
 	heard     time.Time // when it was last read from
 	waiting   time.Time // since when parts wait with nothing read; zero: none do
-	spoilt    bool      // it sent what cannot be read
+	spoilt    bool      // nothing more is sent on it
+	ours      bool      // we have closed it
 	last      string    // id of the latest answer
 }
 
@@ -168,7 +173,11 @@
 		c.never(calls)
 		return
 	}
-	cn := n.pick(c.opts.StreamsPerConn, calls)
+	alone := time.Now().Before(n.shy)
+	cn := n.pick(c.opts.StreamsPerConn, calls, alone)
+	if cn == nil && alone && c.conns >= c.opts.MaxConns {
+		cn = n.pick(c.opts.StreamsPerConn, calls, false)
+	}
 	if cn == nil {
 		if cn = c.dial(n); cn == nil {
 			c.never(calls)
@@ -197,9 +206,9 @@
 // pick chooses a connection that the node has not closed. It may have, right
 // behind its last answer: a part sent there would end as a reset, and may not
 // be repeated then.
-func (n *node) pick(streams int, calls []broker.Attempt) *conn {
+func (n *node) pick(streams int, calls []broker.Attempt, alone bool) *conn {
 	for {
-		cn := n.choose(streams, calls)
+		cn := n.choose(streams, calls, alone)
 		if cn == nil || cn.sock == nil || !cn.sock.HungUp() {
 			return cn
 		}
@@ -213,7 +222,10 @@
 // answers; one with bytes waiting may be cut off. One that is silent may be cut
 // off without a word: what is sent there would only time out. It is used again
 // once it speaks, or where so many are silent that it must be the node.
-func (n *node) choose(streams int, calls []broker.Attempt) *conn {
+//
+// alone asks for one that carries nothing at all: where a node closes
+// connections behind its answers, whatever else waits there is lost with them.
+func (n *node) choose(streams int, calls []broker.Attempt, alone bool) *conn {
 	var best, mute *conn
 	silent, now := 0, time.Now()
 	for _, cn := range n.conns {
@@ -225,7 +237,8 @@
 			silent++
 		}
 		if len(cn.calls)+len(calls) > max(streams, len(calls)) ||
-			len(cn.abandoned) >= maxAbandoned || cn.sock != nil && cn.sock.Backlog() > 0 {
+			len(cn.abandoned) >= maxAbandoned || cn.sock != nil && cn.sock.Backlog() > 0 ||
+			alone && len(cn.calls)+len(cn.abandoned) > 0 {
 			continue
 		}
 		clash := false
@@ -374,7 +387,7 @@
 		c.opts.Sink.Probed(id, decide.Unreachable, 0)
 		return
 	}
-	cn := n.pick(c.opts.StreamsPerConn, nil)
+	cn := n.pick(c.opts.StreamsPerConn, nil, false)
 	if cn == nil {
 		if cn = c.dial(n); cn == nil {
 			c.opts.Sink.Probed(id, decide.Unreachable, 0)
@@ -397,6 +410,7 @@
 	if n := c.nodes[id]; n != nil {
 		for _, cn := range n.conns {
 			if cn.idle() {
+				cn.ours = true
 				cn.sock.Close()
 			}
 		}
@@ -463,6 +477,7 @@
 // given outcome and the others as called off; all of it may have run.
 func (cn *conn) drop(outcome decide.Outcome) {
 	written := cn.sock.Written()
+	cn.ours = true
 	cn.sock.Close()
 	for id, cl := range cn.calls {
 		if cl.end == 0 || cl.end > written {
@@ -541,6 +556,9 @@
 		written = cn.sock.Written()
 		cn.sock.Close()
 	}
+	if now := time.Now(); cn.sock != nil && !cn.ours && (len(cn.calls) > 1 || now.Before(cn.node.shy)) {
+		cn.node.shy = now.Add(shyFor)
+	}
 	for _, cl := range cn.calls {
 		delete(cn.c.where, cl.ID)
 		outcome := decide.Broken
@@ -604,6 +622,7 @@
 	old := cn.addr != cn.node.addr || !cn.node.listed || idle > 0 && now.Sub(cn.used) > idle ||
 		len(cn.abandoned) >= maxAbandoned
 	if !cn.stuck.IsZero() && now.Sub(cn.stuck) > stuckFor || cn.idle() && old {
+		cn.ours = true
 		cn.sock.Close()
 	}
 }
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -341,7 +341,7 @@
 	s.wait(t, 1, decide.OK)
 	c.mu.Lock() // holds back the news of the end
 	n.Cut()
-	cn := c.nodes["n"].pick(8, []broker.Attempt{attempt(2)})
+	cn := c.nodes["n"].pick(8, []broker.Attempt{attempt(2)}, false)
 	c.mu.Unlock()
 	if cn != nil {
 		t.Error("the closed connection was chosen")
@@ -349,3 +349,33 @@
 	c.send("n", attempt(2))
 	s.wait(t, 2, decide.OK)
 }
+
+// Where a node has closed a connection under parts that waited together, each
+// part goes on one of its own for a while.
+func TestPartsGoAloneAfterABreak(t *testing.T) {
+	c, s := client(t, 8, 0)
+	n := testkit.NewNode(t, "n", false)
+	n.Always(testkit.Silent)
+	c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+	send := func(from int) {
+		for id := from; id < from+2; id++ {
+			c.send("n", attempt(id))
+		}
+		n.Wait(t, "both parts", func() bool { return len(n.Calls()) == from+1 })
+	}
+	send(1)
+	if c.open() != 1 {
+		t.Fatalf("%d connections for two parts, want 1", c.open())
+	}
+	n.Cut()
+	s.wait(t, 1, decide.Broken)
+	s.wait(t, 2, decide.Broken)
+	send(3)
+	if c.open() != 2 {
+		t.Errorf("%d connections after a break, want one for each part", c.open())
+	}
+	for id := 5; id < 9; id++ { // where no more may be opened, they share again
+		c.send("n", attempt(id))
+	}
+	n.Wait(t, "all parts", func() bool { return len(n.Calls()) == 8 })
+}
