--- a/decide/decide.go
+++ b/decide/decide.go
@@ -154,7 +154,7 @@
 	usualV, seen           float64   // smoothed worth for work of the queries that come; how many
 	extras, taken          []float64 // times: further attempts, and what was taken in
 	came, sent, died       flow      // parts that came, sends, and attempts under which a replica died
-	lived, lost            flow      // replicas that answered again after a connection broke, or refused the next
+	lived, lost            flow      // replicas that lived on after a connection broke, or refused the next part
 	average, typical, most float64   // mean and median latency of replicas; the most sent of late
 	aim, lastNews, waryTo  float64   // shortest aim of a class; the latest answer; till when a part goes ahead
 	fleet, calm            float64   // mean level of the groups; the typical one when little waits
@@ -385,8 +385,8 @@
 	c.mean += max(smooth, 1/float64(len(c.samples))) * (t - c.mean)
 }
 
-// harmless says that connections break of late under replicas that live on: then a broken attempt says nothing
-// of its query. A replica that dies under one refuses what comes next.
+// harmless says that connections break of late under replicas that live on: a broken attempt then says
+// nothing of its query. A replica that dies under one refuses what comes next.
 func (r *Root) harmless() bool {
 	lived, lost := r.lived.value(r.now), r.lost.value(r.now)
 	return lived > livedMin && lived > livedPer*lost
@@ -893,7 +893,7 @@
 	r.dropParts(q)
 }
 
-// let says that q was let down by a replica now in doubt: its time tells nothing of queries that avoid that one.
+// let says that q was let down by a replica now in doubt: its time tells nothing of those that avoid it.
 func (q *query) let() bool {
 	return slices.ContainsFunc(q.parts, func(p *part) bool {
 		return slices.ContainsFunc(p.tries, func(a *attempt) bool { return a.at.suspect })
