--- a/broker/broker.go
+++ b/broker/broker.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"sync/atomic"
@@ -34,7 +35,8 @@
 	Seed     uint64
 	Limits   Limits
 	Nodes    NodeClient
-	Lister   Lister // nil: the list comes on its own
+	Lister   Lister   // nil: the list comes on its own
+	Observer Observer // nil: nobody is told
 	Log      zerolog.Logger
 }
 
@@ -123,7 +125,11 @@
 // Submit hands a query to the core. If it returns false, the core has not
 // taken the query, and the front refuses it; otherwise r gets one Reply.
 func (c *Core) Submit(q *Query, r Replier) (QueryID, bool) {
-	return c.queue.offer(input{kind: inQuery, query: q, replier: r})
+	id, ok := c.queue.offer(input{kind: inQuery, query: q, replier: r})
+	if !ok && c.opts.Observer != nil {
+		c.opts.Observer.TurnedAway(q, time.Now())
+	}
+	return id, ok
 }
 
 // Leave says that the client of a query has gone. No Reply follows unless one
@@ -194,7 +200,7 @@
 			c.events = append(c.events, decide.Event{Kind: decide.TimerFired, Token: t.token})
 		} else if a := c.tries[t.try]; a != nil {
 			c.opts.Nodes.Cancel(a.node, a.id)
-			c.ended(a, decide.TimedOut, now)
+			c.ended(a, decide.TimedOut, ByTime, now)
 		}
 	}
 	if len(c.events) == 0 {
@@ -221,14 +227,21 @@
 		if q := c.queries[in.id]; q != nil {
 			c.stats.left.Add(1)
 			c.events = append(c.events, decide.Event{Kind: decide.ClientLeft, ID: q.event})
-			c.drop(q)
+			c.drop(q, now)
+			if c.opts.Observer != nil {
+				c.opts.Observer.Final(q.id, &Reply{Verdict: Left}, now)
+			}
 		}
 	case inOutcome:
 		if a := c.tries[in.attempt]; a != nil {
 			if in.outcome == decide.OK && !a.part.in {
 				a.part.in, a.part.value = true, in.value
 			}
-			c.ended(a, in.outcome, now)
+			by := ByNode
+			if in.ours {
+				by = ByCore
+			}
+			c.ended(a, in.outcome, by, now)
 		}
 	case inProbed:
 		if addr, ok := c.names[in.node]; ok {
@@ -248,19 +261,22 @@
 func (c *Core) take(in input, now time.Time) {
 	c.stats.queries.Add(1)
 	q := &query{Query: *in.query, id: in.id, replier: in.replier}
+	if c.opts.Observer != nil {
+		c.opts.Observer.Taken(q.id, &q.Query, now)
+	}
 	left := q.Budget - now.Sub(q.Came)
 	// The parts' ids are made of the query's: under one id the answers of two
 	// open queries could be mixed up. Only the newcomer pays for that.
 	if c.open[q.Name] != nil {
-		c.finish(q, Reply{Verdict: Duplicate})
+		c.finish(q, Reply{Verdict: Duplicate}, now)
 		return
 	}
 	if room := c.opts.Limits.MaxOpen; room > 0 && c.held+1+len(q.Parts) > room {
-		c.finish(q, Reply{Verdict: Refused})
+		c.finish(q, Reply{Verdict: Refused}, now)
 		return
 	}
 	if left <= 0 {
-		c.finish(q, Reply{Verdict: Expired})
+		c.finish(q, Reply{Verdict: Expired}, now)
 		return
 	}
 	c.held += 1 + len(q.Parts)
@@ -294,8 +310,11 @@
 }
 
 // ended gives the module the one outcome of an attempt.
-func (c *Core) ended(a *try, o decide.Outcome, now time.Time) {
+func (c *Core) ended(a *try, o decide.Outcome, by Cause, now time.Time) {
 	delete(c.tries, a.id)
+	if c.opts.Observer != nil {
+		c.opts.Observer.Ended(a.id, o, by, now)
+	}
 	c.events = append(c.events, decide.Event{
 		Kind: decide.AttemptDone, ID: a.part.id, Attempt: a.n, Addr: a.addr, Outcome: o,
 		TookMs: float64(now.Sub(a.sent).Microseconds()) / 1000,
@@ -369,7 +388,7 @@
 		c.send(a, now)
 	case decide.Cancel:
 		if p := c.parts[a.ID]; p != nil && a.Attempt < len(p.tries) {
-			c.giveUp(p.tries[a.Attempt], decide.Cancelled)
+			c.giveUp(p.tries[a.Attempt], now)
 		}
 	case decide.Timer:
 		heap.Push(&c.timers, timer{at: now.Add(duration(a.Ms)), token: a.Token})
@@ -385,6 +404,9 @@
 		}
 	case decide.Log:
 		c.opts.Log.Info().Str("event", "decision").Msg(a.Text)
+		if n := c.nodes[a.Addr]; n != nil && c.opts.Observer != nil {
+			c.opts.Observer.Doubted(n.ID, a.Doubt, now)
+		}
 	case decide.Subscribe:
 		if c.opts.Lister != nil {
 			c.opts.Lister.Subscribe(a.Whole)
@@ -409,13 +431,16 @@
 	c.tries[t.id] = t
 	n, q := c.nodes[a.Addr], p.q
 	left := q.Budget - now.Sub(q.Came)
+	if c.opts.Observer != nil {
+		c.observe(t, n, a.Doubt, min(left, cmp.Or(duration(a.Ms), left)))
+	}
 	attempts := c.opts.Settings.MaxAttempts
 	switch {
 	case c.queries[q.id] != q, left <= 0, attempts > 0 && t.n >= attempts:
-		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.NotSent})
+		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.NotSent, ours: true})
 		return
 	case n == nil, !n.left.IsZero() && now.Sub(n.left) > drainGuard:
-		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.Unreachable})
+		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.Unreachable, ours: true})
 		return
 	}
 	wait := left
@@ -430,6 +455,26 @@
 	})
 }
 
+// observe tells the observer of an attempt that is being opened.
+func (c *Core) observe(t *try, n *node, doubt bool, wait time.Duration) {
+	o := Opening{ID: t.id, Query: t.part.q.id, Shard: t.part.shard, N: t.n, Doubt: doubt, Wait: wait, At: t.sent}
+	if n != nil {
+		o.Node, o.Cell = n.ID, n.Cell
+	}
+	switch {
+	case t.n == 0 && doubt:
+		o.Why = Trial
+	case t.n > 0:
+		o.Why = Retry
+		for _, earlier := range t.part.tries[:t.n] {
+			if c.tries[earlier.id] == earlier && !earlier.off {
+				o.Why = Copy
+			}
+		}
+	}
+	c.opts.Observer.Opened(o)
+}
+
 // flush hands this turn's attempts to the node client, those of one node as
 // calls of the settings' size.
 func (c *Core) flush() {
@@ -456,13 +501,16 @@
 
 // giveUp ends an attempt that is out. The module hears of it in a later turn,
 // as it does of every outcome.
-func (c *Core) giveUp(t *try, o decide.Outcome) {
+func (c *Core) giveUp(t *try, now time.Time) {
 	if c.tries[t.id] != t || t.off {
 		return
 	}
 	t.off = true
+	if c.opts.Observer != nil {
+		c.opts.Observer.Cancelled(t.id, now)
+	}
 	c.opts.Nodes.Cancel(t.node, t.id)
-	c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: o})
+	c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.Cancelled, ours: true})
 }
 
 func (c *Core) conclude(a *decide.Action, now time.Time) {
@@ -488,8 +536,8 @@
 			r.Verdict = Expired
 		}
 	}
-	c.drop(q)
-	c.finish(q, r)
+	c.drop(q, now)
+	c.finish(q, r, now)
 }
 
 // enough says whether the parts that are in make a whole answer.
@@ -508,10 +556,10 @@
 
 // drop forgets a query; attempts still out are given up, and each keeps its
 // one outcome to come.
-func (c *Core) drop(q *query) {
+func (c *Core) drop(q *query, now time.Time) {
 	for _, p := range q.parts {
 		for _, t := range p.tries {
-			c.giveUp(t, decide.Cancelled)
+			c.giveUp(t, now)
 		}
 		delete(c.parts, p.id)
 	}
@@ -522,7 +570,7 @@
 	c.stats.open.Add(-1)
 }
 
-func (c *Core) finish(q *query, r Reply) {
+func (c *Core) finish(q *query, r Reply, now time.Time) {
 	switch r.Verdict {
 	case Served:
 		c.stats.served.Add(1)
@@ -533,6 +581,9 @@
 	case Expired:
 		c.stats.expired.Add(1)
 	}
+	if c.opts.Observer != nil {
+		c.opts.Observer.Final(q.id, &r, now)
+	}
 	q.replier.Reply(q.id, r)
 }
 
@@ -543,9 +594,10 @@
 			in.replier.Reply(in.id, Reply{Verdict: Refused})
 		}
 	}
+	now := time.Now()
 	for _, q := range c.queries {
-		c.drop(q)
-		c.finish(q, Reply{Verdict: Failed})
+		c.drop(q, now)
+		c.finish(q, Reply{Verdict: Failed}, now)
 	}
 }
 
--- a/broker/queue.go
+++ b/broker/queue.go
@@ -26,6 +26,7 @@
 	id      QueryID
 	attempt AttemptID
 	outcome decide.Outcome
+	ours    bool // with inOutcome: the core made it up itself
 	value   []byte
 	node    string
 	took    time.Duration
--- a/broker/types.go
+++ b/broker/types.go
@@ -26,6 +26,7 @@
 	Parts  []Part
 	Came   time.Time     // when its last byte was read
 	Budget time.Duration // how long the client waits, from Came
+	Trace  TraceContext  // what the caller said of its trace; fronts read it where there is an observer
 }
 
 // Part is one part of a query.
@@ -47,6 +48,7 @@
 	Failed                   // given up, with no promise about its effect
 	Expired                  // its time ran out; no promise about its effect
 	Duplicate                // its id is that of an open query; nothing of it was done
+	Left                     // the client went; no Reply has this verdict, only an Observer hears it
 )
 
 // Value is the answer of one part, as its node gave it.
--- a/config/config.go
+++ b/config/config.go
@@ -18,6 +18,7 @@
 	"onyxsail/decide"
 	"onyxsail/discovery"
 	"onyxsail/internal/wire"
+	"onyxsail/tracing"
 )
 
 // Limits are what the platform allows the process.
@@ -76,6 +77,7 @@
 	LogLevel       string
 	Flight         *Flight
 	Store          *Store
+	Tracing        *tracing.Config // with its defaults; nil: off
 }
 
 // file is the JSON form.
@@ -91,6 +93,7 @@
 	LogLevel   string          `json:"log_level"`
 	Flight     *Flight         `json:"flight"`
 	Store      *Store          `json:"store"`
+	Tracing    *tracing.Config `json:"tracing"`
 }
 
 // Field is an error in one field.
@@ -160,6 +163,7 @@
 		[]any{b, now.Zones, now.Kinds, now.Classes, now.StreamsPerConn, now.ConnectTimeout, now.ConnIdle})
 	note("flight", old.Flight, now.Flight)
 	note("store", old.Store, now.Store)
+	note("tracing", old.Tracing, now.Tracing)
 	return names
 }
 
@@ -189,6 +193,10 @@
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, FileDiscovery: own, Limits: f.Limits,
 		HandOver: defaultHandOver, LogLevel: f.LogLevel, Flight: f.Flight, Store: f.Store,
 	}
+	if f.Tracing != nil {
+		t := f.Tracing.WithDefaults()
+		c.Tracing = &t
+	}
 	if f.HandOverMs != nil {
 		c.HandOver = time.Duration(*f.HandOverMs * float64(time.Millisecond))
 	}
@@ -358,6 +366,14 @@
 	if c.Flight != nil && !loopback(c.Flight.Listen) {
 		return wrong("flight.listen", "got %q, want a loopback host:port", c.Flight.Listen)
 	}
+	if c.Tracing != nil {
+		if err := c.Tracing.Check(); err != nil {
+			if f := (*tracing.FieldError)(nil); errors.As(err, &f) {
+				return &Field{"tracing." + f.Field, f.Err}
+			}
+			return &Field{"tracing", err}
+		}
+	}
 	if c.Store == nil {
 		return nil
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"onyxsail/internal/query"
 	"onyxsail/nodeclient"
 	"onyxsail/store"
+	"onyxsail/tracing"
 )
 
 const (
@@ -46,6 +47,7 @@
 	front  *httpfront.Front
 	flight *flightfront.Front // nil: off
 	store  *store.Store       // nil: off
+	tracer *tracing.Tracer    // nil: off
 	level  *level
 	window atomic.Int64 // of the hand-over, in nanoseconds
 	seen   *roster
@@ -106,17 +108,28 @@
 	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.window.Store(int64(cfg.HandOver))
 	s := &sink{}
+	// Interfaces that stay nil without a tracer: the core and the wires then
+	// spend nothing.
+	var observer broker.Observer
+	var wire broker.WireObserver
+	if cfg.Tracing != nil {
+		if d.tracer, err = tracing.Start(tracing.Options{Config: *cfg.Tracing, Broker: cfg.Name, Classes: traced(cfg), Log: log}); err != nil {
+			loop.Stop()
+			return nil, err
+		}
+		observer, wire = d.tracer, d.tracer
+	}
 	d.nodes = nodeclient.New(nodeclient.Options{
 		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
-		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 5 / 16, Log: log,
+		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 5 / 16, Observer: wire, Log: log,
 	})
 	d.remote = flightnode.New(flightnode.Options{
-		Sink: s, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Log: log,
+		Sink: s, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Observer: wire, Log: log,
 	})
 	d.core = broker.New(broker.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Log: log,
 		Nodes:  &router{frames: d.nodes, flight: d.remote, sink: s},
-		Limits: d.limits,
+		Limits: d.limits, Observer: observer,
 	})
 	s.core = d.core
 	d.seen = &roster{core: d.core, nodes: map[string]broker.Node{}, ready: func() { close(d.known) }}
@@ -141,12 +154,12 @@
 	wait, d.cancel = context.WithCancel(context.Background())
 	d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
 		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
-		MaxConns: clients, Log: log,
+		MaxConns: clients, Trace: cfg.Tracing != nil, Log: log,
 	})
 	if err == nil && cfg.Flight != nil {
 		d.flight, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
 			Core: d.core, Classes: classes(cfg), Shards: cfg.Settings.Shards, MaxConns: sockets / 8, Log: log,
-			Actions: d.actions(),
+			Actions: d.actions(), Trace: cfg.Tracing != nil,
 		})
 	}
 	if err != nil {
@@ -251,6 +264,9 @@
 	d.nodes.Close()
 	d.remote.Close()
 	d.loop.Stop()
+	if d.tracer != nil {
+		d.tracer.Close(context.Background())
+	}
 }
 
 func classes(cfg *config.Config) map[string]query.Class {
@@ -261,6 +277,17 @@
 	return m
 }
 
+// traced is what the tracer needs of the classes.
+func traced(cfg *config.Config) []tracing.Class {
+	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+	all := make([]tracing.Class, len(cfg.Classes))
+	for i, c := range cfg.Classes {
+		s := &cfg.Settings.Classes[i]
+		all[i] = tracing.Class{Name: c.Name, Wanted: ms(s.AimMs), Stretch: s.AimStretch, Most: ms(s.DeadlineMs)}
+	}
+	return all
+}
+
 // Addr is where clients connect.
 func (d *Daemon) Addr() net.Addr { return d.front.Addr() }
 
@@ -297,6 +324,9 @@
 	d.nodes.Close()
 	d.remote.Close()
 	d.loop.Stop()
+	if d.tracer != nil {
+		d.tracer.Close(ctx)
+	}
 	if d.store != nil {
 		err = errors.Join(err, d.store.Close())
 	}
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -20,6 +20,7 @@
 	"onyxsail/decide"
 	"onyxsail/flightfront"
 	"onyxsail/store"
+	"onyxsail/tracing"
 )
 
 // Names of the operator's commands on Flight, and of the reason and field with
@@ -28,6 +29,8 @@
 	ActionStatus    = "status"
 	ActionConfigGet = "config.get"
 	ActionConfigSet = "config.set"
+	ActionTraceRead = "trace.read"
+	ActionTraceTail = "trace.tail"
 	ReasonNotLeader = "NOT_LEADER"
 	LeaderFlight    = "leader_flight"
 )
@@ -140,9 +143,10 @@
 
 // Status is what the status command tells.
 type Status struct {
-	Name  string        `json:"name"`
-	Stats broker.Stats  `json:"stats"`
-	Store *store.Status `json:"store,omitempty"`
+	Name    string          `json:"name"`
+	Stats   broker.Stats    `json:"stats"`
+	Store   *store.Status   `json:"store,omitempty"`
+	Tracing *tracing.Counts `json:"tracing,omitempty"`
 }
 
 // Status returns the daemon's status.
@@ -152,6 +156,10 @@
 		own := d.store.Status()
 		s.Store = &own
 	}
+	if d.tracer != nil {
+		c := d.tracer.Counts()
+		s.Tracing = &c
+	}
 	return s
 }
 
@@ -160,6 +168,9 @@
 		Name: ActionStatus, About: "counts of this broker and its view of the store's group",
 		Run: func(context.Context, []byte) ([]byte, error) { return json.Marshal(d.Status()) },
 	}}
+	if d.tracer != nil {
+		all = append(all, d.traceActions()...)
+	}
 	if d.store == nil {
 		return all
 	}
--- a/decide/api.go
+++ b/decide/api.go
@@ -197,7 +197,7 @@
 
 // The kinds of action.
 const (
-	Send      ActionKind = iota // ID Addr Ms (time-out; 0: until the client gives up)
+	Send      ActionKind = iota // ID Addr Ms (time-out; 0: until the client gives up) Doubt (the replica is in doubt)
 	Cancel                      // ID Attempt
 	Timer                       // Ms Token
 	Answer                      // ID Whole
@@ -205,7 +205,7 @@
 	Abort                       // ID
 	Probe                       // Addr
 	Tell                        // Peer (AllPeers: every other root) Text
-	Log                         // Text
+	Log                         // Text Addr (0: none) Doubt (Addr is in doubt from now on)
 	Subscribe                   // Whole (false: end the subscription)
 	FetchList                   // no field
 	CloseIdle                   // Addr
@@ -223,6 +223,7 @@
 	Ms      float64
 	Token   uint64
 	Whole   bool
+	Doubt   bool
 	Peer    int
 	Text    string
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -407,7 +407,7 @@
 	h.group.bad = min(groupBad/2, h.group.bad*(1-smooth)) // all of it may be back
 	if h.suspect && (h.bad < trustAt || h.mute) {
 		h.suspect, h.mute, h.bad = false, false, min(h.bad, trustAt)
-		r.do(Action{Kind: Log, Text: fmt.Sprintf("replica %x trusted again", uint64(h.Addr))})
+		r.do(Action{Kind: Log, Addr: h.Addr, Text: fmt.Sprintf("replica %x trusted again", uint64(h.Addr))})
 	}
 }
 
@@ -417,7 +417,8 @@
 	h.group.bad += smooth * (1 - h.group.bad)
 	if h.bad > suspectAt && !h.suspect {
 		h.suspect = true
-		r.do(Action{Kind: Log, Text: fmt.Sprintf("replica %x suspected", uint64(h.Addr))})
+		text := fmt.Sprintf("replica %x suspected", uint64(h.Addr))
+		r.do(Action{Kind: Log, Addr: h.Addr, Doubt: true, Text: text})
 	}
 	h.trialAt = r.now + trialGap*r.typical
 }
@@ -614,7 +615,8 @@
 	h.mayTake-- // counts while it is cold
 	r.sent.add(r.now)
 	r.most = max(r.sent.count, r.most*(1-1.0/mostSends))
-	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)})
+	ms := max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)
+	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: ms, Doubt: r.doubted(h)})
 }
 
 // cheap says that p's last attempt failed at once: it cost next to nothing, so the next one is no extra work,
--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -22,12 +22,14 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"onyxsail/broker"
 	"onyxsail/internal/flightwire"
 	"onyxsail/internal/query"
+	"onyxsail/internal/tracecontext"
 )
 
 const (
@@ -47,9 +49,11 @@
 // Action is one of the operator's commands.
 type Action struct {
 	Name, About string
-	// Run answers the command. Errors reach the client with the status that they
+	// Run answers the command, with one result. Errors reach the client with the status that they
 	// carry, else as INTERNAL.
 	Run func(ctx context.Context, body []byte) ([]byte, error)
+	// Stream, in place of Run, answers with any number of results.
+	Stream func(ctx context.Context, body []byte, send func([]byte) error) error
 }
 
 // Options make a Front.
@@ -59,6 +63,7 @@
 	Shards   int
 	MaxConns int
 	Actions  []Action
+	Trace    bool // read the callers' trace contexts
 	Log      zerolog.Logger
 }
 
@@ -135,6 +140,11 @@
 		return nil, status.Errorf(codes.NotFound, "class: no class %q", t.Class)
 	}
 	q := &broker.Query{Name: t.ID, Class: class.Index, Retry: t.Retry, Came: now}
+	if f.opts.Trace {
+		if md, ok := metadata.FromIncomingContext(ctx); ok {
+			q.Trace = tracecontext.Parse(md.Get(tracecontext.ParentKey), strings.Join(md.Get(tracecontext.StateKey), ","))
+		}
+	}
 	err := query.CheckName("id", t.ID)
 	if err == nil && class.Keyed {
 		q.Key = t.Key
@@ -239,10 +249,18 @@
 		}
 		return status.Errorf(codes.Unimplemented, "no action %q, want one of %s", a.GetType(), strings.Join(names, ", "))
 	}
-	body, err := f.opts.Actions[i].Run(stream.Context(), a.GetBody())
-	if err != nil {
+	ctx, send := stream.Context(), func(body []byte) error { return stream.Send(&flight.Result{Body: body}) }
+	var err error
+	if act := f.opts.Actions[i]; act.Stream != nil {
+		err = act.Stream(ctx, a.GetBody(), send)
+	} else {
+		var body []byte
+		if body, err = act.Run(ctx, a.GetBody()); err == nil {
+			return send(body)
+		}
+	}
+	if err != nil && ctx.Err() == nil {
 		f.opts.Log.Warn().Str("event", "action").Str("action", a.GetType()).Err(err).Msg("a command failed")
-		return err
 	}
-	return stream.Send(&flight.Result{Body: body})
+	return err
 }
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -24,6 +24,7 @@
 	"onyxsail/broker"
 	"onyxsail/decide"
 	"onyxsail/internal/flightwire"
+	"onyxsail/internal/tracecontext"
 )
 
 const (
@@ -39,6 +40,7 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration
 	MaxConns       int
+	Observer       broker.WireObserver // nil: nobody is told
 	Log            zerolog.Logger
 }
 
@@ -227,18 +229,38 @@
 	if err != nil {
 		return decide.NotSent, nil, err
 	}
+	tell := func(p broker.WirePhase, at time.Time) {
+		if c.opts.Observer != nil {
+			c.opts.Observer.Wire(a.ID, p, conn.Target(), at)
+		}
+	}
+	if conn.GetState() != connectivity.Ready {
+		tell(broker.WireDialing, time.Now())
+	}
 	if err := c.up(ctx, conn); err != nil {
 		return decide.Unreachable, nil, err
 	}
+	tell(broker.WireUp, time.Now())
+	if c.opts.Observer != nil {
+		if parent, state := c.opts.Observer.Carry(a.ID); parent != "" {
+			ctx = metadata.AppendToOutgoingContext(ctx, tracecontext.ParentKey, parent)
+			if state != "" {
+				ctx = metadata.AppendToOutgoingContext(ctx, tracecontext.StateKey, state)
+			}
+		}
+	}
 	// The raw stream and not the client's DoGet, which hides whether an error
 	// came before the ticket left or after.
 	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/arrow.flight.protocol.FlightService/DoGet")
 	if err != nil {
 		return decide.Unreachable, nil, err
 	}
-	get := &grpc.GenericClientStream[flight.Ticket, flight.FlightData]{ClientStream: stream}
-	if err = get.SendMsg(ticket); err == nil {
-		err = get.CloseSend()
+	get := &answers{ClientStream: stream, first: func(at time.Time) { tell(broker.WireAnswer, at) }}
+	if err = stream.SendMsg(ticket); err == nil {
+		err = stream.CloseSend()
+	}
+	if err == nil {
+		tell(broker.WireGone, time.Now())
 	}
 	var values []broker.Value
 	if err == nil {
@@ -253,6 +275,25 @@
 	return outcome(err, stream.Trailer()), nil, err
 }
 
+// answers are the messages of one answer; first hears when the first came.
+type answers struct {
+	grpc.ClientStream
+	first func(time.Time)
+}
+
+// Recv implements flight.DataStreamReader.
+func (a *answers) Recv() (*flight.FlightData, error) {
+	m := new(flight.FlightData)
+	if err := a.RecvMsg(m); err != nil {
+		return nil, err
+	}
+	if a.first != nil {
+		a.first(time.Now())
+		a.first = nil
+	}
+	return m, nil
+}
+
 // outcome classifies what ended a stream that had been opened.
 func outcome(err error, trailer metadata.MD) decide.Outcome {
 	if ends := trailer.Get(flightwire.EndKey); len(ends) == 1 && ends[0] == flightwire.EndFull {
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -21,6 +21,7 @@
 	"onyxsail/internal/http1"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
+	"onyxsail/internal/tracecontext"
 )
 
 // Each connection must come to something in time, or hundreds that never do
@@ -68,6 +69,7 @@
 	Classes  map[string]query.Class
 	Shards   int // 0: unknown
 	MaxConns int
+	Trace    bool // read the clients' trace contexts
 	Log      zerolog.Logger
 }
 
@@ -487,6 +489,9 @@
 		c.finish(s, func(last bool) []byte { return encode(nil, status, err.Error(), 0, last) })
 		return
 	}
+	if c.f.opts.Trace {
+		q.Trace = tracecontext.Parse(m.All(tracecontext.ParentKey), strings.Join(m.All(tracecontext.StateKey), ","))
+	}
 	id, ok := c.f.opts.Core.Submit(q, c)
 	if !ok {
 		c.finish(s, func(last bool) []byte { return encodeReply(nil, broker.Reply{Verdict: broker.Refused}, last) })
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -47,6 +47,17 @@
 	return ""
 }
 
+// All returns the values of a header, as often as it stands.
+func (m *Message) All(name string) []string {
+	var values []string
+	for _, h := range m.Headers {
+		if h.Name == name {
+			values = append(values, h.Value)
+		}
+	}
+	return values
+}
+
 // Count says how many headers of a name there are.
 func (m *Message) Count(name string) int {
 	n := 0
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -52,8 +52,9 @@
 	Sink           broker.Sink
 	StreamsPerConn int
 	ConnectTimeout time.Duration
-	ConnIdle       time.Duration // the servers'
-	MaxConns       int           // over all nodes
+	ConnIdle       time.Duration       // the servers'
+	MaxConns       int                 // over all nodes
+	Observer       broker.WireObserver // nil: nobody is told
 	Log            zerolog.Logger
 }
 
@@ -90,8 +91,10 @@
 	sock      *netio.Conn // nil while it is being made
 	gone      bool
 	buf       []byte
-	calls     map[string]*call    // by the part's id
-	abandoned map[string]struct{} // given up; an answer may still come
+	calls     map[string]*call            // by the part's id
+	abandoned map[string]broker.AttemptID // given up; an answer may still come
+	dialed    time.Time                   // when its making began
+	began     time.Time                   // when the first byte of what is in buf came
 	probes    []time.Time
 	used      time.Time
 	stuck     time.Time // since when bytes have waited
@@ -109,6 +112,7 @@
 	id   string
 	on   *conn
 	end  int64 // position of its frame's last byte, 0 before it is queued
+	gone bool  // the observer knows that the last byte has left
 	mate []broker.Attempt
 }
 
@@ -191,6 +195,9 @@
 		}
 		cn.calls[cl.id] = cl
 		c.where[cl.ID] = cl
+		if cn.sock == nil && c.opts.Observer != nil {
+			c.opts.Observer.Wire(cl.ID, broker.WireDialing, cn.addr, cn.dialed)
+		}
 	}
 	if cn.sock != nil {
 		cn.write(calls)
@@ -273,9 +280,10 @@
 		return nil
 	}
 	c.conns++
+	now := time.Now()
 	cn := &conn{
-		c: c, node: n, addr: n.addr, used: time.Now(),
-		calls: map[string]*call{}, abandoned: map[string]struct{}{},
+		c: c, node: n, addr: n.addr, used: now, dialed: now,
+		calls: map[string]*call{}, abandoned: map[string]broker.AttemptID{},
 	}
 	n.conns = append(n.conns, cn)
 	c.done.Add(1)
@@ -312,6 +320,12 @@
 			return
 		}
 	}
+	if cn.c.opts.Observer != nil {
+		now := time.Now()
+		for _, cl := range cn.calls {
+			cn.c.opts.Observer.Wire(cl.ID, broker.WireUp, cn.addr, now)
+		}
+	}
 	for _, cl := range cn.calls {
 		if cl.end == 0 && cl.mate != nil {
 			cn.write(cl.mate)
@@ -344,6 +358,28 @@
 	if err != nil {
 		cn.sock.Close()
 	}
+	if cn.c.opts.Observer == nil {
+		return
+	}
+	cn.tellGone(cn.used)
+	if err == nil && cn.sock.Backlog() > 0 {
+		cn.sock.AfterFlush(func() {
+			cn.c.mu.Lock()
+			defer cn.c.mu.Unlock()
+			cn.tellGone(time.Now())
+		})
+	}
+}
+
+// tellGone tells the observer whose last byte has left; c.mu is held.
+func (cn *conn) tellGone(now time.Time) {
+	written := cn.sock.Written()
+	for _, cl := range cn.calls {
+		if !cl.gone && cl.end > 0 && cl.end <= written {
+			cl.gone = true
+			cn.c.opts.Observer.Wire(cl.ID, broker.WireGone, cn.addr, now)
+		}
+	}
 }
 
 // Cancel implements broker.NodeClient.
@@ -372,7 +408,7 @@
 	if len(cn.calls) == 0 && !cn.silent(cn.used) {
 		cn.waiting = time.Time{} // the node may answer nothing more, rightly
 	}
-	cn.abandoned[cl.id] = struct{}{}
+	cn.abandoned[cl.id] = cl.ID
 	if _, err := cn.sock.Write(appendCancel(nil, cl.id)); err != nil {
 		cn.sock.Close()
 	}
@@ -435,12 +471,16 @@
 			cn.waiting = cn.used
 		}
 	}()
+	if len(cn.buf) == 0 {
+		cn.began = cn.used
+	}
 	cn.buf = append(cn.buf, b...)
 	for rest := cn.buf; ; {
 		letter, body, n, err := nextFrame(rest)
 		if err == nil && n > 0 {
 			err = cn.frame(letter, body)
 			rest = rest[n:]
+			cn.began = cn.used
 		}
 		if err != nil {
 			cn.spoil(err)
@@ -498,13 +538,20 @@
 			return err
 		}
 		cl := cn.calls[r.id]
-		if _, off := cn.abandoned[r.id]; cl == nil && !off && r.id != cn.last {
+		late, off := cn.abandoned[r.id]
+		if cl == nil && !off && r.id != cn.last {
 			return fmt.Errorf("%w: the answer of part %.80q, which is not out", errFrame, r.id)
 		}
 		delete(cn.abandoned, r.id)
 		if cn.last = r.id; cl == nil {
+			if off && cn.c.opts.Observer != nil {
+				cn.c.opts.Observer.Late(late, r.end, cn.heard)
+			}
 			return nil // it was given up, or is a copy of the latest answer
 		}
+		if cn.c.opts.Observer != nil {
+			cn.c.opts.Observer.Wire(cl.ID, broker.WireAnswer, cn.addr, cn.began)
+		}
 		delete(cn.calls, r.id)
 		delete(cn.c.where, cl.ID)
 		if took := cn.heard.Sub(cl.sent); cn.node.usual == 0 {
--- /dev/null
+++ b/tracing/tracer.go
@@ -0,0 +1,565 @@
+// Package tracing follows every query and keeps the traces that explain a bad
+// one. A Tracer is the core's Observer and its node clients' WireObserver; the
+// sampler decides at a query's end, and one goroutine writes what is kept to
+// the spool and hands it to the exporter.
+package tracing
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/tracecontext"
+	"onyxsail/tracing/export"
+	"onyxsail/tracing/record"
+	"onyxsail/tracing/sample"
+	"onyxsail/tracing/spool"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond // between looks at the sampler's window
+	// lateFor is how long the outcome of an attempt is awaited after its trace
+	// was written, and maxLate how many are at once.
+	lateFor = 5 * time.Second
+	maxLate = 4096
+	// maxOpen bounds the queries that are followed at once; the core bounds them
+	// closer where the settings tell a figure.
+	maxOpen   = 1 << 14
+	maxSpare  = 64 // traces that are kept for use again
+	maxFollow = 256
+)
+
+// Class is what the tracer needs of a class, by its index.
+type Class struct {
+	Name    string
+	Wanted  time.Duration // an answer within this is in time
+	Stretch float64       // and this multiple of the query's own work more
+	Most    time.Duration // but never later than this
+}
+
+// Options make a Tracer.
+type Options struct {
+	Config  Config // with its defaults
+	Broker  string
+	Classes []Class
+	Log     zerolog.Logger
+	// Write takes the place of the spool's writes, in tests of a disk that fails.
+	Write func(*os.File, []byte) (int, error)
+}
+
+// live is a query that is open, or over and waiting for the sampler's verdict.
+type live struct {
+	record.Trace
+	came  time.Time
+	class int
+	slot  int // in the table of open queries; -1: none
+	ended bool
+}
+
+type tryRef struct {
+	l *live
+	i int
+}
+
+// lateRef is an attempt whose trace is written, and which may still answer.
+type lateRef struct {
+	id   record.TraceID
+	span record.SpanID
+	came time.Time
+	till time.Time
+}
+
+// Tracer implements broker.Observer and broker.WireObserver.
+type Tracer struct {
+	opts  Options
+	start time.Time // all times are told from its monotonic reading
+	stop  chan struct{}
+	done  sync.WaitGroup
+
+	spool    *spool.Spool     // the goroutine's; nil: none
+	exporter *export.Exporter // nil: none
+
+	mu      sync.Mutex
+	rng     *rand.ChaCha8
+	open    map[broker.QueryID]*live
+	byTry   map[broker.AttemptID]tryRef
+	held    map[uint64]*live // over, by the sampler's key
+	lastKey uint64
+	spare   []*live
+	sampler *sample.Sampler
+	table   *spool.Table // nil: none
+	late    map[broker.AttemptID]lateRef
+	lateQ   []broker.AttemptID // in the order of their time
+	notes   []record.Note      // to be written
+	recent  ring
+	unseen  int64 // queries that were not followed
+	noted   int64 // late outcomes
+	spooled spool.Counts
+	follow  map[chan *record.Trace]bool
+	missed  int64 // traces that a reader who follows was too slow for
+	lost    bool  // the loss of the table is in the log
+}
+
+// Start starts a tracer. A disk that cannot be used does not keep it from
+// starting: the log says so, and traces are kept in memory alone.
+func Start(o Options) (*Tracer, error) {
+	var seed [32]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, fmt.Errorf("seeding the tracer: %w", err)
+	}
+	c := o.Config
+	t := &Tracer{
+		opts: o, start: time.Now(), stop: make(chan struct{}), rng: rand.NewChaCha8(seed),
+		open: map[broker.QueryID]*live{}, byTry: map[broker.AttemptID]tryRef{}, held: map[uint64]*live{},
+		late: map[broker.AttemptID]lateRef{}, follow: map[chan *record.Trace]bool{},
+		recent: ring{most: c.MemoryKB << 10 / 4},
+		sampler: sample.New(sample.Config{
+			Budget: c.BudgetPerS, Bytes: c.MemoryKB << 10 / 2, Usual: c.GoodShare, Asked: c.AskedPerS, Classes: len(o.Classes),
+			Slow: c.SlowQuantile, SlowLeast: 200, Seed: binary.LittleEndian.Uint64(seed[:]),
+		}),
+	}
+	if c.Dir != "" {
+		t.openSpool()
+	}
+	if c.OTLP != nil {
+		var err error
+		t.exporter, err = export.New(export.Options{
+			Endpoint: c.OTLP.Endpoint, Broker: o.Broker, Timeout: time.Duration(c.OTLP.TimeoutMs) * time.Millisecond,
+			Limits: export.Limits{Queue: c.OTLP.Queue, Bytes: c.MemoryKB << 10 / 4, Batch: c.OTLP.Batch,
+				Wait: time.Duration(c.OTLP.WaitMs) * time.Millisecond, Back: backFirst, Most: backMost, Tries: c.OTLP.Tries},
+			Seed: binary.LittleEndian.Uint64(seed[8:]), Log: o.Log, Now: t.now,
+		})
+		if err != nil {
+			t.closeSpool()
+			return nil, err
+		}
+	}
+	t.done.Add(1)
+	go t.run()
+	return t, nil
+}
+
+func (t *Tracer) now() time.Duration { return time.Since(t.start) }
+
+// openSpool takes the folder and reports what a killed broker left open.
+func (t *Tracer) openSpool() {
+	c, log := t.opts.Config, t.opts.Log
+	s, err := spool.Open(spool.Options{
+		Dir: c.Dir, Log: log, Now: t.now, Write: t.opts.Write,
+		Limits: spool.Limits{Segment: int64(c.SegmentKB) << 10, Total: int64(c.SpoolMB) << 20, Back: backFirst, Most: backMost},
+	})
+	if err != nil {
+		log.Warn().Str("event", "trace-spool").Str("dir", c.Dir).Err(err).Msg("the spool cannot be used; traces are kept in memory alone")
+		return
+	}
+	t.spool = s
+	table, left, unreadable, err := spool.OpenTable(c.Dir, c.OpenQueries)
+	if err != nil {
+		log.Warn().Str("event", "trace-spool").Str("dir", c.Dir).Err(err).
+			Msg("the table of open queries cannot be used; a kill will leave no evidence of them")
+	}
+	carried := 0
+	for _, tr := range left {
+		tr.Broker = t.opts.Broker
+		tr.Interrupt()
+		if t.write(tr) {
+			continue
+		}
+		carried++ // the segment took none: the new table keeps it for the next start
+		if table != nil {
+			table.Carry(tr)
+		}
+	}
+	if table != nil {
+		if err := table.Reset(); err != nil {
+			log.Warn().Str("event", "trace-spool").Err(err).Msg("a kill will leave no evidence of open queries")
+		}
+		t.table = table
+	}
+	if len(left)+unreadable > 0 {
+		log.Warn().Str("event", "trace-interrupted").Int("queries", len(left)).Int("unreadable", unreadable).Int("carried", carried).
+			Msg("the broker before this one ended under queries; `gannetchute trace list --reason interrupted` shows them")
+	}
+}
+
+// write puts a trace into the spool and says whether it is there.
+func (t *Tracer) write(tr *record.Trace) bool {
+	data, err := record.Encode(tr)
+	return err == nil && t.spool.Append(spool.KindTrace, data) == spool.DropNone
+}
+
+// Close writes and sends what is kept, and ends the tracer. No call may come
+// any more.
+func (t *Tracer) Close(ctx context.Context) {
+	close(t.stop)
+	t.done.Wait()
+	t.collect(true)
+	if t.exporter != nil {
+		t.exporter.Close(ctx)
+	}
+	t.mu.Lock()
+	for ch := range t.follow {
+		close(ch)
+	}
+	t.follow = map[chan *record.Trace]bool{}
+	t.mu.Unlock()
+	t.closeSpool()
+}
+
+func (t *Tracer) closeSpool() {
+	if t.table != nil {
+		if err := t.table.Close(); err != nil {
+			t.opts.Log.Warn().Str("event", "trace-spool").Err(err).Msg("the table of open queries did not close in order")
+		}
+	}
+	if t.spool != nil {
+		if err := t.spool.Close(); err != nil {
+			t.opts.Log.Warn().Str("event", "trace-spool").Err(err).Msg("the spool did not close in order")
+		}
+	}
+}
+
+func (t *Tracer) run() {
+	defer t.done.Done()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-tick.C:
+			t.collect(false)
+		}
+	}
+}
+
+// collect takes what is kept from the sampler and passes it on. Slots are given
+// back only after their traces are in the spool.
+func (t *Tracer) collect(all bool) {
+	now := time.Now()
+	t.mu.Lock()
+	var kept []sample.Kept
+	if all {
+		kept = t.sampler.Flush()
+	} else {
+		kept = t.sampler.Due(now.Sub(t.start))
+	}
+	traces, slots := make([]*record.Trace, 0, len(kept)), make([]int, 0, len(kept))
+	for _, k := range kept {
+		l := t.held[k.Key]
+		delete(t.held, k.Key)
+		l.Reasons, l.Kept, l.Probability = k.Reasons, k.Reason, k.Probability
+		t.awaitLate(l, now)
+		t.recent.add(&l.Trace)
+		traces, slots = append(traces, &l.Trace), append(slots, l.slot)
+		for ch := range t.follow {
+			select {
+			case ch <- &l.Trace:
+			default:
+				t.missed++
+			}
+		}
+	}
+	for len(t.lateQ) > 0 && t.late[t.lateQ[0]].till.Before(now) {
+		delete(t.late, t.lateQ[0])
+		t.lateQ = t.lateQ[1:]
+	}
+	notes := t.notes
+	t.notes = nil
+	if t.table != nil && t.table.Lost() != nil && !t.lost {
+		t.lost = true
+		t.opts.Log.Warn().Str("event", "trace-spool").Err(t.table.Lost()).
+			Msg("the table of open queries was lost; a kill will leave no evidence of them")
+	}
+	t.mu.Unlock()
+
+	for _, tr := range traces {
+		if t.spool != nil {
+			t.write(tr)
+		}
+		if t.exporter != nil {
+			t.exporter.Put(tr)
+		}
+	}
+	if t.spool != nil {
+		for _, n := range notes {
+			if data, err := spool.EncodeNote(n); err == nil {
+				t.spool.Append(spool.KindNote, data)
+			}
+		}
+	}
+	if len(traces)+len(notes) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.spool != nil {
+		t.spooled = t.spool.Counts()
+	}
+	if t.table != nil {
+		for _, slot := range slots {
+			t.table.Free(slot)
+		}
+	}
+}
+
+// awaitLate moves a written trace's open attempts to where their outcomes are
+// noted apart; t.mu is held.
+func (t *Tracer) awaitLate(l *live, now time.Time) {
+	for i := range l.Attempts {
+		a := &l.Attempts[i]
+		id := broker.AttemptID(a.ID)
+		if ref, ok := t.byTry[id]; !ok || ref.l != l {
+			continue
+		}
+		delete(t.byTry, id)
+		if a.MayRun && !a.LateAt.Set() && len(t.lateQ) < maxLate {
+			t.late[id] = lateRef{l.ID, l.Span, l.came, now.Add(lateFor)}
+			t.lateQ = append(t.lateQ, id)
+		}
+	}
+}
+
+// take returns an empty live query for a new one; t.mu is held.
+func (t *Tracer) take(q *broker.Query, at time.Time) *live {
+	var l *live
+	if n := len(t.spare); n > 0 {
+		l = t.spare[n-1]
+		t.spare = t.spare[:n-1]
+		*l = live{Trace: record.Trace{Attempts: l.Attempts[:0]}}
+	} else {
+		l = &live{}
+	}
+	l.came, l.slot, l.class = q.Came, -1, q.Class
+	l.ID, l.Parent, l.Sampled, l.State = q.Trace.ID, q.Trace.Parent, q.Trace.Sampled, q.Trace.State
+	if l.ID == (record.TraceID{}) {
+		binary.LittleEndian.PutUint64(l.ID[:], t.rng.Uint64())
+		binary.LittleEndian.PutUint64(l.ID[8:], t.rng.Uint64()|1) // zero is no id
+	}
+	binary.LittleEndian.PutUint64(l.Span[:], t.rng.Uint64()|1)
+	l.Broker, l.Query, l.Retry, l.Parts, l.Budget = t.opts.Broker, q.Name, q.Retry, len(q.Parts), q.Budget
+	// The wall clock is read once, at the start: one that steps moves no trace.
+	l.Came = t.start.Add(q.Came.Sub(t.start)).Round(0)
+	l.Taken = record.After(at.Sub(q.Came))
+	l.Verdict = record.Verdict(record.Open)
+	if q.Class >= 0 && q.Class < len(t.opts.Classes) {
+		c := &t.opts.Classes[q.Class]
+		l.Class, l.Wanted = c.Name, c.Wanted
+		if c.Stretch > 0 {
+			work := 0.0
+			for i := range q.Parts {
+				work += q.Parts[i].WorkMs
+			}
+			l.Wanted = min(l.Wanted+time.Duration(c.Stretch*work*float64(time.Millisecond)), c.Most)
+		}
+	}
+	return l
+}
+
+// Taken implements broker.Observer.
+func (t *Tracer) Taken(id broker.QueryID, q *broker.Query, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.open) >= maxOpen {
+		t.unseen++
+		return
+	}
+	l := t.take(q, at)
+	t.open[id] = l
+	if t.table != nil {
+		l.slot = t.table.Begin(&l.Trace)
+	}
+}
+
+// TurnedAway implements broker.Observer.
+func (t *Tracer) TurnedAway(q *broker.Query, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.take(q, at)
+	t.end(l, &broker.Reply{Verdict: broker.Refused}, at)
+}
+
+// Opened implements broker.Observer.
+func (t *Tracer) Opened(o broker.Opening) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.open[o.Query]
+	if l == nil {
+		return
+	}
+	l.Attempts = append(l.Attempts, record.Attempt{
+		ID: uint64(o.ID), Span: record.AttemptSpan(l.Span, uint64(o.ID)), Shard: o.Shard, N: o.N, Node: o.Node, Cell: o.Cell,
+		Why: record.Why(o.Why), Doubt: o.Doubt, Opened: record.After(o.At.Sub(l.came)), Outcome: record.Out,
+	})
+	i := len(l.Attempts) - 1
+	t.byTry[o.ID] = tryRef{l, i}
+	if l.slot >= 0 {
+		t.table.Attempt(l.slot, i, &l.Attempts[i])
+	}
+}
+
+// Cancelled implements broker.Observer.
+func (t *Tracer) Cancelled(id broker.AttemptID, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ref, ok := t.byTry[id]; ok {
+		ref.l.Attempts[ref.i].GaveUp = record.After(at.Sub(ref.l.came))
+	}
+}
+
+// Ended implements broker.Observer.
+func (t *Tracer) Ended(id broker.AttemptID, o decide.Outcome, by broker.Cause, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ref, ok := t.byTry[id]
+	if !ok || ref.l.ended {
+		return // it was ended with its query
+	}
+	a := &ref.l.Attempts[ref.i]
+	a.End(o, by != broker.ByNode, record.After(at.Sub(ref.l.came)))
+	if ref.l.slot >= 0 {
+		t.table.Attempt(ref.l.slot, ref.i, a)
+	}
+}
+
+// Doubted implements broker.Observer: an attempt that is out at a node that
+// comes into doubt was touched by it.
+func (t *Tracer) Doubted(node string, doubted bool, _ time.Time) {
+	if !doubted {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, ref := range t.byTry {
+		if a := &ref.l.Attempts[ref.i]; a.Node == node && !a.Ended.Set() {
+			a.Doubt = true
+		}
+	}
+}
+
+// Final implements broker.Observer.
+func (t *Tracer) Final(id broker.QueryID, r *broker.Reply, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.open[id]; l != nil {
+		delete(t.open, id)
+		t.end(l, r, at)
+	}
+}
+
+// end ends a query and its attempts and asks the sampler; t.mu is held.
+func (t *Tracer) end(l *live, r *broker.Reply, at time.Time) {
+	l.ended = true
+	l.Ended = record.After(at.Sub(l.came))
+	l.Verdict, l.Whole, l.RetryAfter = record.Verdict(r.Verdict), r.Whole, r.RetryAfter
+	for i := range l.Attempts {
+		if a := &l.Attempts[i]; !a.Ended.Set() {
+			// It never answered: the core has given it up, and it may still run.
+			a.End(decide.Cancelled, true, l.Ended)
+		}
+	}
+	l.Reasons = l.Judge()
+	t.lastKey++
+	key, node := t.lastKey, ""
+	if l.Reasons != 0 {
+		node = l.Culprit()
+	}
+	hold, drop := t.sampler.Offer(sample.Item{
+		Key: key, At: at.Sub(t.start), Class: l.class, Node: node, Took: l.Ended.Duration(),
+		Served: r.Verdict == broker.Served, Reasons: l.Reasons, Asked: l.Sampled, Size: l.Size(),
+	})
+	for _, k := range drop {
+		if other := t.held[k]; other != nil {
+			delete(t.held, k)
+			t.release(other)
+		}
+	}
+	if !hold {
+		t.release(l)
+		return
+	}
+	t.held[key] = l
+	if l.slot >= 0 {
+		t.table.End(l.slot, &l.Trace)
+	}
+}
+
+// release forgets a query whose trace is not kept; t.mu is held.
+func (t *Tracer) release(l *live) {
+	for i := range l.Attempts {
+		delete(t.byTry, broker.AttemptID(l.Attempts[i].ID))
+	}
+	if l.slot >= 0 {
+		t.table.Free(l.slot)
+	}
+	if len(t.spare) < maxSpare {
+		t.spare = append(t.spare, l)
+	}
+}
+
+// Wire implements broker.WireObserver.
+func (t *Tracer) Wire(id broker.AttemptID, phase broker.WirePhase, addr string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ref, ok := t.byTry[id]
+	if !ok || ref.l.ended {
+		return
+	}
+	a, when := &ref.l.Attempts[ref.i], record.After(at.Sub(ref.l.came))
+	a.Addr = addr
+	switch phase {
+	case broker.WireDialing:
+		a.Dialed = when
+	case broker.WireUp:
+		a.Up = when
+	case broker.WireGone:
+		a.Gone = when
+	case broker.WireAnswer:
+		a.Answer = when
+		return // no evidence that the table needs
+	}
+	if ref.l.slot >= 0 {
+		t.table.Attempt(ref.l.slot, ref.i, a)
+	}
+}
+
+// Late implements broker.WireObserver.
+func (t *Tracer) Late(id broker.AttemptID, o decide.Outcome, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ref, ok := t.byTry[id]; ok {
+		a, outcome := &ref.l.Attempts[ref.i], record.Outcome(o)
+		a.LateAt, a.LateOutcome = record.After(at.Sub(ref.l.came)), &outcome
+		t.noted++
+		return
+	}
+	if ref, ok := t.late[id]; ok {
+		delete(t.late, id) // lateQ forgets it in time
+		n := record.Note{ID: ref.id, Span: ref.span, Attempt: uint64(id), At: record.After(at.Sub(ref.came)), Outcome: record.Outcome(o)}
+		t.recent.note(n)
+		t.noted++
+		if t.spool != nil && len(t.notes) < maxLate {
+			t.notes = append(t.notes, n)
+		}
+	}
+}
+
+// Carry implements broker.WireObserver.
+func (t *Tracer) Carry(id broker.AttemptID) (traceparent, tracestate string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ref, ok := t.byTry[id]
+	if !ok {
+		return "", ""
+	}
+	return tracecontext.Format(ref.l.ID, ref.l.Attempts[ref.i].Span, ref.l.Sampled), ref.l.State
+}
--- /dev/null
+++ b/tracing/view/view.go
@@ -0,0 +1,263 @@
+// Package view renders traces for a terminal.
+package view
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"onyxsail/broker"
+	"onyxsail/tracing/critical"
+	"onyxsail/tracing/record"
+)
+
+// barWidth is the columns of a waterfall's bars.
+const barWidth = 60
+
+// The marks of a bar, by what the attempt waited for.
+const (
+	markCore    = '.' // in the core or for a connection
+	markNode    = '=' // at the node
+	markRead    = '#' // for the rest of the answer
+	markBlocked = '~' // for its last byte to leave
+)
+
+func ms(d time.Duration) string {
+	if d >= 10*time.Second {
+		return fmt.Sprintf("%.2f s", d.Seconds())
+	}
+	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
+}
+
+// safe keeps a text of a client's or node's from steering the terminal.
+func safe(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f || r >= 0x80 && r < 0xa0 {
+			return '?'
+		}
+		return r
+	}, text)
+}
+
+// table writes rows in columns.
+func table(w io.Writer, rows [][]string) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		fmt.Fprintln(tw, strings.Join(r, "\t"))
+	}
+	if err := tw.Flush(); err != nil {
+		return fmt.Errorf("writing a table: %w", err)
+	}
+	return nil
+}
+
+// Line is one trace on one line: when, id, class, end, time, reasons, and the
+// heaviest stretch of its critical path.
+func Line(t *record.Trace) []string {
+	end := t.Verdict.String()
+	if broker.Verdict(t.Verdict) == broker.Served && !t.Whole {
+		end += " in part"
+	}
+	return []string{
+		t.Came.UTC().Format("15:04:05.000"), t.ID.String()[:16], safe(t.Class), safe(t.Query), end, ms(t.Took()), ms(t.Wanted),
+		t.Reasons.String(), heaviest(t),
+	}
+}
+
+func heaviest(t *record.Trace) string {
+	path := critical.Of(t)
+	var most critical.Segment
+	for _, s := range path.Segments {
+		if s.Took() > most.Took() {
+			most = s
+		}
+	}
+	if most.Phase == "" {
+		return "-"
+	}
+	text := fmt.Sprintf("%s %s", most.Phase, ms(most.Took()))
+	if most.Attempt >= 0 {
+		a := &t.Attempts[most.Attempt]
+		text += fmt.Sprintf(" (%s, %s)", safe(a.Node), a.Why)
+	}
+	return text
+}
+
+// List writes traces as a table.
+func List(w io.Writer, traces []*record.Trace) error {
+	rows := [][]string{{"CAME (UTC)", "TRACE", "CLASS", "QUERY", "END", "TOOK", "WANTED", "REASONS", "MOST TIME"}}
+	for _, t := range traces {
+		rows = append(rows, Line(t))
+	}
+	return table(w, rows)
+}
+
+// Show writes one trace as a waterfall, with its critical path.
+func Show(w io.Writer, t *record.Trace) error {
+	path := critical.Of(t)
+	on := map[int]bool{}
+	for _, s := range path.Segments {
+		on[s.Attempt] = true
+	}
+	whole := ""
+	if broker.Verdict(t.Verdict) == broker.Served && !t.Whole {
+		whole = " in part"
+	}
+	fmt.Fprintf(w, "trace %s, query %s of class %s, broker %s\n", t.ID, safe(t.Query), safe(t.Class), safe(t.Broker))
+	fmt.Fprintf(w, "came %s, %d parts, %s%s after %s; wanted within %s, given up at %s\n",
+		t.Came.UTC().Format(time.RFC3339Nano), t.Parts, t.Verdict, whole, ms(t.Took()), ms(t.Wanted), ms(t.Budget))
+	fmt.Fprintf(w, "reasons %s; kept as %s, with probability %.3g\n", t.Reasons, t.Kept, t.Probability)
+	if t.Parent != (record.SpanID{}) {
+		fmt.Fprintf(w, "called from span %s\n", t.Parent)
+	}
+	if t.RetryAfter > 0 {
+		fmt.Fprintf(w, "the client was told to come back after %s\n", ms(t.RetryAfter))
+	}
+	if len(t.Attempts) == 0 {
+		fmt.Fprintln(w, "no attempt was made")
+	} else {
+		rows := [][]string{{"", "PART", "N", "WHY", "NODE", "0 " + strings.Repeat(" ", barWidth-2-len(ms(t.Took()))) + ms(t.Took()), "END"}}
+		for i := range t.Attempts {
+			a := &t.Attempts[i]
+			mark := ""
+			if on[i] {
+				mark = "*"
+			}
+			rows = append(rows, []string{
+				mark, fmt.Sprint(a.Shard), fmt.Sprint(a.N), a.Why.String(), fmt.Sprintf("%s (cell %d)", safe(a.Node), a.Cell), bar(t, a), outcome(t, a),
+			})
+		}
+		if err := table(w, rows); err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "%c in the broker or for a connection  %c until its last byte left  %c at the node  %c until the answer was whole  * on the critical path\n",
+			markCore, markBlocked, markNode, markRead)
+	}
+	if t.Unseen > 0 {
+		fmt.Fprintf(w, "%d more attempts were made, of which nothing is known\n", t.Unseen)
+	}
+	rows := [][]string{{"CRITICAL PATH", "FROM", "TOOK", "ATTEMPT"}}
+	for _, s := range path.Segments {
+		what := "-"
+		if s.Attempt >= 0 {
+			a := &t.Attempts[s.Attempt]
+			what = fmt.Sprintf("part %d, %s at %s", a.Shard, a.Why, safe(a.Node))
+			if a.Addr != "" {
+				what += " (" + safe(a.Addr) + ")"
+			}
+		}
+		rows = append(rows, []string{string(s.Phase), ms(s.From), ms(s.Took()), what})
+	}
+	return table(w, rows)
+}
+
+// bar draws an attempt against its query's time.
+func bar(t *record.Trace, a *record.Attempt) string {
+	all := max(t.Took(), 1)
+	column := func(o record.Offset) int { return int(int64(o.Duration()) * barWidth / int64(all)) }
+	end := a.Ended
+	if !end.Set() {
+		end = record.After(all)
+	}
+	b := []rune(strings.Repeat(" ", barWidth))
+	at := min(column(a.Opened), barWidth-1)
+	fill := func(to record.Offset, mark rune) {
+		for until := min(column(to), barWidth); at < until; at++ {
+			b[at] = mark
+		}
+	}
+	last := markCore
+	if a.Up.Set() || !a.Dialed.Set() {
+		if a.Up.Set() {
+			fill(a.Up, markCore)
+		}
+		last = markBlocked
+	}
+	if a.Gone.Set() {
+		fill(a.Gone, markBlocked)
+		last = markNode
+	}
+	if a.Answer.Set() {
+		fill(a.Answer, markNode)
+		last = markRead
+	}
+	from := at
+	fill(end, last)
+	if at == from && from < barWidth && b[max(0, from-1)] == ' ' { // shorter than a column
+		b[from] = last
+	}
+	return string(b)
+}
+
+func outcome(t *record.Trace, a *record.Attempt) string {
+	text := a.Outcome.String()
+	if a.Ours && a.Ended.Set() {
+		text += " by the broker"
+	}
+	if a.MayRun {
+		text += ", may still run"
+	}
+	if a.Doubt {
+		text += ", in doubt"
+	}
+	if w := t.Winner(a.Shard); w != nil && w != a {
+		text += fmt.Sprintf(", attempt %d won", w.N)
+	}
+	if a.LateAt.Set() && a.LateOutcome != nil {
+		text += fmt.Sprintf(", %s after all at %s", a.LateOutcome, ms(a.LateAt.Duration()))
+	}
+	return text
+}
+
+// Why writes a table of lost time.
+func Why(w io.Writer, t critical.Table, rows int) error {
+	fmt.Fprintf(w, "%d traces, %d of them bad, which stand for %.0f bad queries and %s lost\n", t.Traces, t.Bad, t.Queries, ms(t.Lost))
+	if t.Usual > 0 {
+		fmt.Fprintf(w, "lost is what goes beyond the good queries of the class, of which %d were kept\n", t.Usual)
+	} else {
+		fmt.Fprintln(w, "no good query was kept: all the time of the bad ones counts as lost")
+	}
+	reasons := [][]string{{"REASON", "KEPT"}}
+	for _, name := range record.AllReasons() {
+		if n := t.Reasons[name]; n > 0 {
+			reasons = append(reasons, []string{name, fmt.Sprint(n)})
+		}
+	}
+	fmt.Fprintln(w)
+	if err := table(w, reasons); err != nil {
+		return err
+	}
+	for _, part := range []struct {
+		name string
+		rows []critical.Row
+		key  func(critical.Row) string
+	}{
+		{"PHASE", t.Phases, func(r critical.Row) string { return string(r.Phase) }},
+		{"NODE", t.Nodes, func(r critical.Row) string { return safe(r.Node) }},
+		{"CELL", t.Cells, func(r critical.Row) string { return r.Cell }},
+		{"ATTEMPT", t.Whys, func(r critical.Row) string { return r.Why }},
+		{"ALL TOGETHER", t.Top, func(r critical.Row) string {
+			return strings.TrimSpace(fmt.Sprintf("%s: %s %s %s", safe(r.Class), r.Phase, safe(r.Node), r.Why))
+		}},
+	} {
+		out := [][]string{{part.name, "LOST", "SHARE", "QUERIES", "KEPT"}}
+		for i, r := range part.rows {
+			if i == rows {
+				out = append(out, []string{fmt.Sprintf("(%d more)", len(part.rows)-rows), "", "", "", ""})
+				break
+			}
+			key := part.key(r)
+			if key == "" {
+				key = "-"
+			}
+			out = append(out, []string{key, ms(r.Lost), fmt.Sprintf("%.1f%%", 100*r.Share), fmt.Sprintf("%.1f", r.Queries), fmt.Sprint(r.Kept)})
+		}
+		fmt.Fprintln(w)
+		if err := table(w, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
