--- a/tracing/config.go
+++ b/tracing/config.go
@@ -137,4 +137,6 @@
 const (
 	backFirst = 500 * time.Millisecond
 	backMost  = 30 * time.Second
+	// backLongest is the longest pause that a collector can ask for.
+	backLongest = 10 * time.Minute
 )
--- a/tracing/export/plan.go
+++ b/tracing/export/plan.go
@@ -13,8 +13,10 @@
 	Batch int           // traces of one request
 	Wait  time.Duration // how long a trace waits for others at most
 	Back  time.Duration // first pause after a failure; doubled at each further one
-	Most  time.Duration // longest pause, a collector's own word included
-	Tries int           // requests for one batch
+	Most  time.Duration // longest of these pauses
+	// Longest bounds the pause that a collector asks for.
+	Longest time.Duration
+	Tries   int // requests for one batch
 }
 
 // Cause says why a trace was not delivered.
@@ -119,7 +121,7 @@
 		// upper half, so that many brokers do not come back together.
 		p.pause = min(max(2*p.pause, p.limits.Back), p.limits.Most)
 		wait := p.pause/2 + time.Duration(p.rng.Float64()*float64(p.pause/2))
-		p.until = now + max(wait, min(after, p.limits.Most))
+		p.until = now + max(wait, min(after, p.limits.Longest))
 		if p.tries < p.limits.Tries {
 			p.again++
 			return 0
--- a/tracing/sample/sample.go
+++ b/tracing/sample/sample.go
@@ -174,6 +174,9 @@
 	s.out = s.out[:0]
 	s.now = max(s.now, it.At)
 	s.counts.Seen++
+	if s.held == 0 && s.now >= s.until { // a window begins with what comes first
+		s.begin()
+	}
 	r := it.Reasons
 	if it.Served && s.slow(it.Class, it.Took) {
 		r |= record.Slow
@@ -356,17 +359,22 @@
 				}
 			}
 		}
-		s.by[i] = nil
-	}
-	for i := range s.heat {
-		s.heat[i] /= 2
 	}
 	slices.SortFunc(kept, func(a, b Kept) int { return cmp.Compare(a.Key, b.Key) })
 	s.counts.Kept += int64(len(kept))
+	s.begin()
+	return kept
+}
+
+// begin empties the window and starts the next.
+func (s *Sampler) begin() {
 	clear(s.groups)
+	clear(s.by[:])
+	for i := range s.heat {
+		s.heat[i] /= 2
+	}
 	s.held, s.bytes, s.asked = 0, 0, 0
 	s.until = s.now + s.cfg.Window
-	return kept
 }
 
 // Counts returns the totals.
--- a/tracing/spool/plan.go
+++ b/tracing/spool/plan.go
@@ -47,7 +47,7 @@
 	next   uint64
 	pause  time.Duration
 	until  time.Duration // nothing is written before
-	freed  bool          // a segment was given up for a full disk since the last write
+	freed  bool          // segments were given up for a full disk since the last write
 }
 
 // NewPlan returns a plan for a spool that holds these segments, in the order of
@@ -100,19 +100,25 @@
 	p.pause, p.freed = 0, false
 }
 
-// Failed takes a failure in. The present segment ends: its tail may be torn.
-// Where the disk is full the oldest segment goes, and again says that the
-// record may be tried once more at once; else nothing is written for a while.
-func (p *Plan) Failed(now time.Duration, full bool) (remove []uint64, again bool) {
+// Failed takes a failure to write n bytes in. The present segment ends: its
+// tail may be torn. Where the disk is full the oldest segments go that make
+// room for as much, the last of them apart, and again says that the record may
+// be tried once more at once; else nothing is written for a while.
+func (p *Plan) Failed(now time.Duration, full bool, n int64) (remove []uint64, again bool) {
 	if p.now.Seq != 0 {
 		p.old = append(p.old, p.now)
 		p.now = Segment{}
 	}
-	if full && !p.freed && len(p.old) > 1 {
-		p.freed = true
-		remove = []uint64{p.old[0].Seq}
-		p.old = p.old[1:]
-		return remove, true
+	if full && !p.freed {
+		for room := int64(0); room < n && len(p.old) > 1; {
+			room += p.old[0].Size
+			remove = append(remove, p.old[0].Seq)
+			p.old = p.old[1:]
+		}
+		if len(remove) > 0 {
+			p.freed = true
+			return remove, true
+		}
 	}
 	p.freed = false
 	p.pause = min(max(2*p.pause, p.limits.Back), p.limits.Most)
--- a/tracing/spool/spool.go
+++ b/tracing/spool/spool.go
@@ -213,7 +213,7 @@
 			return DropNone
 		}
 		s.cut()
-		remove, again := s.plan.Failed(s.opts.Now(), errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT))
+		remove, again := s.plan.Failed(s.opts.Now(), errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT), need+int64(headSize))
 		s.remove(remove)
 		if !again {
 			if !s.told {
--- a/tracing/tracer.go
+++ b/tracing/tracer.go
@@ -26,7 +26,6 @@
 )
 
 const (
-	tickEvery = 100 * time.Millisecond // between looks at the sampler's window
 	// lateFor is how long the outcome of an attempt is awaited after its trace
 	// was written, and maxLate how many are at once.
 	lateFor = 5 * time.Second
@@ -83,6 +82,7 @@
 	opts  Options
 	start time.Time // all times are told from its monotonic reading
 	stop  chan struct{}
+	wake  chan struct{} // something waits for the goroutine
 	done  sync.WaitGroup
 
 	spool    *spool.Spool     // the goroutine's; nil: none
@@ -118,7 +118,7 @@
 	}
 	c := o.Config
 	t := &Tracer{
-		opts: o, start: time.Now(), stop: make(chan struct{}), rng: rand.NewChaCha8(seed),
+		opts: o, start: time.Now(), stop: make(chan struct{}), wake: make(chan struct{}, 1), rng: rand.NewChaCha8(seed),
 		open: map[broker.QueryID]*live{}, byTry: map[broker.AttemptID]tryRef{}, held: map[uint64]*live{},
 		late: map[broker.AttemptID]lateRef{}, follow: map[chan *record.Trace]bool{},
 		recent: ring{most: c.MemoryKB << 10 / 4},
@@ -135,7 +135,7 @@
 		t.exporter, err = export.New(export.Options{
 			Endpoint: c.OTLP.Endpoint, Broker: o.Broker, Timeout: time.Duration(c.OTLP.TimeoutMs) * time.Millisecond,
 			Limits: export.Limits{Queue: c.OTLP.Queue, Bytes: c.MemoryKB << 10 / 4, Batch: c.OTLP.Batch,
-				Wait: time.Duration(c.OTLP.WaitMs) * time.Millisecond, Back: backFirst, Most: backMost, Tries: c.OTLP.Tries},
+				Wait: time.Duration(c.OTLP.WaitMs) * time.Millisecond, Back: backFirst, Most: backMost, Longest: backLongest, Tries: c.OTLP.Tries},
 			Seed: binary.LittleEndian.Uint64(seed[8:]), Log: o.Log, Now: t.now,
 		})
 		if err != nil {
@@ -228,17 +228,41 @@
 	}
 }
 
+// run collects at the end of each of the sampler's windows. While nothing is
+// held it sleeps.
 func (t *Tracer) run() {
 	defer t.done.Done()
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	armed := false
 	for {
 		select {
 		case <-t.stop:
 			return
-		case <-tick.C:
+		case <-t.wake:
+			if armed {
+				continue
+			}
+		case <-timer.C:
+			armed = false
 			t.collect(false)
 		}
+		t.mu.Lock()
+		at, held := t.sampler.Next()
+		held = held || len(t.notes) > 0
+		t.mu.Unlock()
+		if held {
+			timer.Reset(max(time.Millisecond, at-t.now()))
+			armed = true
+		}
+	}
+}
+
+// rouse wakes the goroutine; t.mu is held.
+func (t *Tracer) rouse() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -487,7 +511,9 @@
 		t.release(l)
 		return
 	}
-	t.held[key] = l
+	if t.held[key] = l; len(t.held) == 1 {
+		t.rouse()
+	}
 	if l.slot >= 0 {
 		t.table.End(l.slot, &l.Trace)
 	}
@@ -549,6 +575,7 @@
 		t.noted++
 		if t.spool != nil && len(t.notes) < maxLate {
 			t.notes = append(t.notes, n)
+			t.rouse()
 		}
 	}
 }
