--- a/internal/testkit/nodes.go
+++ b/internal/testkit/nodes.go
@@ -35,6 +35,8 @@
 	Text  string
 	Wait  time.Duration
 	At    time.Time
+	// The headers of the trace, on Flight.
+	Traceparent, Tracestate string
 }
 
 // The ways in which a stand-in ends a part.
@@ -296,6 +298,9 @@
 	}
 	call := Call{ID: p.ID, Shard: p.Partition, Key: p.Key, Text: string(p.Query),
 		Wait: time.Duration(p.WaitMs) * time.Millisecond, At: time.Now()}
+	if md, ok := metadata.FromIncomingContext(stream.Context()); ok {
+		call.Traceparent, call.Tracestate = strings.Join(md.Get("traceparent"), " "), strings.Join(md.Get("tracestate"), " ")
+	}
 	left := func() { f.node.note(func() { f.node.given = append(f.node.given, p.ID) }) }
 	switch f.node.begin(call) {
 	case Done:
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -20,6 +20,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"onyxsail/internal/flightwire"
@@ -151,6 +152,8 @@
 	Class, ID, Key string
 	Shards         []int
 	Within         time.Duration
+	Traceparent    []string // each as a header of its own
+	Tracestate     string
 }
 
 // Reply is what a client got.
@@ -188,6 +191,10 @@
 	if q.Key != "" {
 		req.Header.Set("Idempotency-Key", q.Key)
 	}
+	req.Header["Traceparent"] = q.Traceparent
+	if q.Tracestate != "" {
+		req.Header.Set("Tracestate", q.Tracestate)
+	}
 	start := time.Now()
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -240,6 +247,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.Within)
 	defer cancel()
+	for _, p := range q.Traceparent {
+		ctx = metadata.AppendToOutgoingContext(ctx, "traceparent", p)
+	}
+	if q.Tracestate != "" {
+		ctx = metadata.AppendToOutgoingContext(ctx, "tracestate", q.Tracestate)
+	}
 	start := time.Now()
 	r := Reply{Values: map[int]string{}}
 	stream, err := flight.NewClientFromConn(conn, nil).DoGet(ctx, &flight.Ticket{Ticket: ticket})
--- a/tracing/read.go
+++ b/tracing/read.go
@@ -107,7 +107,8 @@
 	Unseen     int64          `json:"unseen"`     // queries that were not followed
 	NoSlot     int64          `json:"no_slot"`    // queries that a kill would leave no evidence of
 	Late       int64          `json:"late"`       // outcomes that came after all
-	Unfollowed int64          `json:"unfollowed"` // traces that a slow reader missed
+	Following  int            `json:"following"`  // readers that follow
+	Unfollowed int64          `json:"unfollowed"` // traces that a slow one missed
 	Spool      *spool.Counts  `json:"spool,omitempty"`
 	Export     *export.Counts `json:"export,omitempty"`
 }
@@ -118,7 +119,7 @@
 	defer t.mu.Unlock()
 	c := Counts{
 		Open: t.open.n, Held: len(t.held), Recent: len(t.recent.traces), Bytes: t.recent.bytes,
-		Sampled: t.sampler.Counts(), Unseen: t.unseen, Late: t.noted, Unfollowed: t.missed,
+		Sampled: t.sampler.Counts(), Unseen: t.unseen, Late: t.noted, Following: len(t.follow), Unfollowed: t.missed,
 	}
 	t.open.each(func(l *live) { c.Bytes += l.Size() })
 	for _, l := range t.held {
