--- /dev/null
+++ b/internal/address/address_test.go
@@ -0,0 +1,55 @@
+package address
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	for in, want := range map[string]Address{
+		"127.0.0.1:80":                     {Target: "127.0.0.1:80"},
+		"[::1]:80":                         {Family: IPv6, Target: "[::1]:80"},
+		"[0:0:0:0:0:0:0:1]:80":             {Family: IPv6, Target: "[::1]:80"},
+		"[::ffff:127.0.0.1]:80":            {Target: "127.0.0.1:80"}, // the same socket as the first
+		"Node-1.example:8000":              {Family: Name, Target: "node-1.example:8000"},
+		"unix:/run/n.sock":                 {Family: Unix, Target: "/run/n.sock"},
+		"grpc+tcp://127.0.0.1:80":          {Flight: true, Target: "127.0.0.1:80"},
+		"grpc+tcp://[::1]:80":              {Flight: true, Family: IPv6, Target: "[::1]:80"},
+		"grpc+unix:/run/n.sock":            {Flight: true, Family: Unix, Target: "/run/n.sock"},
+		"grpc+unix:///run/n.sock":          {Flight: true, Family: Unix, Target: "/run/n.sock"},
+		"unix:" + strings.Repeat("/x", 53): {Family: Unix, Target: strings.Repeat("/x", 53)},
+	} {
+		got, err := Parse(in)
+		if err != nil || got != want {
+			t.Errorf("%s: %+v, %v", in, got, err)
+		}
+		if again, err := Parse(got.String()); err != nil || again != got {
+			t.Errorf("%s comes back from %s as %+v, %v", in, got, again, err)
+		}
+	}
+	for in, want := range map[string]string{
+		"": "port", "127.0.0.1": "port", "127.0.0.1:0": "port", "127.0.0.1:65536": "port", "127.0.0.1:http": "port", "127.0.0.1:080": "port",
+		"::1:80": "colons", "[fe80::1%eth0]:80": "zone", ":80": "host", "a_b:80": "host", "-a:80": "host", "a..b:80": "host",
+		"unix:run": "path", "unix:/": "path", "unix:/a/../b": "path", "unix:/a\x00": "control", "unix:/" + strings.Repeat("x", 107): "bytes",
+		"unix:///a": "path", "grpc+unix:a": "path", "http://a:80": "want host:port", "grpc+tls://a:80": "want host:port", "grpc+tcp://unix:/a": "port",
+	} {
+		if got, err := Parse(in); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %+v, %v, want an error on %q", in, got, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"127.0.0.1:80", "[::1]:80", "unix:/a", "grpc+tcp://a:1", "grpc+unix:///a"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		a, err := Parse(s)
+		if err != nil {
+			return
+		}
+		if again, err := Parse(a.String()); err != nil || again != a {
+			t.Fatalf("%q: %+v comes back as %+v, %v", s, a, again, err)
+		}
+	})
+}
