Reach nodes at several addresses: the list's `addrs`, raced and fallen back on by frames

A node that listens on IPv4, IPv6 and a Unix socket was dialled at the one `addr` that the list gave, once.

Entries of the list may carry `addrs`; each is parsed strictly, and one that can't be used is named in the log and takes nothing from the others. The frames' client races such a node's addresses as the planner says, feeds it connects, answers, silences and breaks, and moves a part to another address only where nothing of it has left. `status` shows the order and why. A node with one address takes the path that it took.

--- a/broker/types.go
+++ b/broker/types.go
@@ -114,12 +114,15 @@
 // Node is one entry of the roster.
 type Node struct {
 	ID, Addr string
-	Zone     int
-	Kind     int
-	Cell     int
-	State    decide.State
-	Weight   float64
-	Started  time.Time // zero: long ago
+	// Addrs are all its addresses in the list's order, Addr among them; empty
+	// where Addr is the only one.
+	Addrs   []string `json:",omitempty"`
+	Zone    int
+	Kind    int
+	Cell    int
+	State   decide.State
+	Weight  float64
+	Started time.Time // zero: long ago
 }
 
 // Roster is news of the list of nodes.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,7 +128,7 @@
 	})
 	d.core = broker.New(broker.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Log: log,
-		Nodes:  &router{frames: d.nodes, flight: d.remote, sink: s},
+		Nodes:  &router{frames: d.nodes, flight: d.remote, sink: s, log: log},
 		Limits: d.limits, Observer: observer,
 	})
 	s.core = d.core
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -19,6 +19,7 @@
 	"onyxsail/broker"
 	"onyxsail/decide"
 	"onyxsail/flightfront"
+	"onyxsail/reach"
 	"onyxsail/store"
 	"onyxsail/tracing"
 )
@@ -147,6 +148,8 @@
 	Stats   broker.Stats    `json:"stats"`
 	Store   *store.Status   `json:"store,omitempty"`
 	Tracing *tracing.Counts `json:"tracing,omitempty"`
+	// Addresses of the nodes that have several, the preferred one first.
+	Addresses map[string][]reach.View `json:"addresses,omitempty"`
 }
 
 // Status returns the daemon's status.
@@ -156,6 +159,7 @@
 		own := d.store.Status()
 		s.Store = &own
 	}
+	s.Addresses = d.nodes.Addresses()
 	if d.tracer != nil {
 		c := d.tracer.Counts()
 		s.Tracing = &c
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -93,6 +93,10 @@
 		c.whole = false // a change was missed: fetch the whole list
 		return err
 	}
+	for _, f := range l.Faults {
+		c.opts.Log.Warn().Str("event", "list-address").Str("node", f.Node).Str("field", f.Field).Err(f.Err).
+			Msg("an address of a node in the list cannot be used; its others stand")
+	}
 	if !l.Full && !c.whole {
 		return errors.New("calling discovery: changes came where the whole list was asked for")
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -40,6 +40,34 @@
 	}
 }
 
+// A node's further addresses are read strictly; one that cannot be used is
+// named and takes nothing from the others.
+func TestParseAddrs(t *testing.T) {
+	for _, c := range []struct{ addr, addrs, want, faults string }{
+		{"127.0.0.1:1", `["[::1]:1","unix:/n","127.0.0.1:1"]`, "[::1]:1 unix:/n 127.0.0.1:1", ""},
+		{"127.0.0.1:1", `["[::1]:1","[0::1]:1"]`, "127.0.0.1:1 [::1]:1", ""},
+		{"127.0.0.1:1", `["127.0.0.1:1"]`, "", ""},
+		{"127.0.0.1:1", `["nonsense",7,"unix:/n"]`, "127.0.0.1:1 unix:/n", "a addrs[0] a addrs[1]"},
+		{"127.0.0.1:1", `"unix:/n"`, "", "a addrs"},
+		{"127.0.0.1:1", `["grpc+unix:/f","unix:/n"]`, "127.0.0.1:1 unix:/n", "a addrs[0]"},
+		{"grpc+tcp://127.0.0.1:1", `["grpc+unix:///f"]`, "grpc+tcp://127.0.0.1:1 grpc+unix:/f", ""},
+		{"127.0.0.1:1", `null`, "", ""},
+	} {
+		in := `{"version":1,"full":true,"servers":[{"id":"a","addr":"` + c.addr + `","addrs":` + c.addrs + `,"zone":"neihu","state":"in_service"}]}`
+		l, err := ParseList([]byte(in), []string{"neihu"}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var faults []string
+		for _, f := range l.Faults {
+			faults = append(faults, f.Node, f.Field)
+		}
+		if got := strings.Join(l.Nodes[0].Addrs, " "); got != c.want || strings.Join(faults, " ") != c.faults || l.Nodes[0].Addr != c.addr {
+			t.Errorf("%s: %q, faults %q", in, got, faults)
+		}
+	}
+}
+
 // The whole list comes first, then each change, on a watch that asks for what
 // is newer than the last answer.
 func TestFollow(t *testing.T) {
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -2,13 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
 	"onyxsail/broker"
 	"onyxsail/decide"
+	"onyxsail/internal/address"
 )
 
 // List is one answer of discovery.
@@ -16,17 +19,26 @@
 	Version int64
 	Full    bool
 	Nodes   []broker.Node
+	// Faults are addresses that cannot be used; their nodes' others stand.
+	Faults []Fault
+}
+
+// Fault is one entry of a node's addrs.
+type Fault struct {
+	Node, Field string
+	Err         error
 }
 
 type entry struct {
-	ID      string   `json:"id"`
-	Addr    string   `json:"addr"`
-	Zone    string   `json:"zone"`
-	Kind    string   `json:"kind"`
-	Cell    int      `json:"cell"`
-	State   string   `json:"state"`
-	Weight  *float64 `json:"weight"`
-	Started float64  `json:"started_ms"`
+	ID      string          `json:"id"`
+	Addr    string          `json:"addr"`
+	Addrs   json.RawMessage `json:"addrs"`
+	Zone    string          `json:"zone"`
+	Kind    string          `json:"kind"`
+	Cell    int             `json:"cell"`
+	State   string          `json:"state"`
+	Weight  *float64        `json:"weight"`
+	Started float64         `json:"started_ms"`
 }
 
 type message struct {
@@ -75,11 +87,62 @@
 		if e.Started > 0 {
 			n.Started = time.UnixMicro(int64(e.Started * 1000))
 		}
+		if len(e.Addrs) > 0 && n.State != decide.Gone {
+			l.addrs(&n, e.Addrs)
+		}
 		l.Nodes = append(l.Nodes, n)
 	}
 	return l, nil
 }
 
+// maxAddrs bounds the addresses of one node.
+const maxAddrs = 16
+
+// addrs reads a node's further addresses. addr goes before them, unless it
+// stands among them.
+func (l *List) addrs(n *broker.Node, raw json.RawMessage) {
+	fault := func(field string, err error) { l.Faults = append(l.Faults, Fault{n.ID, field, err}) }
+	var texts []json.RawMessage
+	if err := json.Unmarshal(raw, &texts); err != nil {
+		fault("addrs", err)
+		return
+	}
+	if len(texts) > maxAddrs {
+		fault("addrs", fmt.Errorf("%d of them, want %d at most", len(texts), maxAddrs))
+		texts = texts[:maxAddrs]
+	}
+	first, err := address.Parse(n.Addr)
+	if err != nil { // the platform's form is wider: it alone counts then
+		fault("addr", err)
+		return
+	}
+	all := []address.Address{}
+	for i, raw := range texts {
+		var text string
+		var a address.Address
+		err := json.Unmarshal(raw, &text)
+		if err == nil {
+			a, err = address.Parse(text)
+		}
+		if err == nil && a.Flight != first.Flight {
+			err = errors.New("speaks another protocol than addr")
+		}
+		if err != nil {
+			fault(fmt.Sprintf("addrs[%d]", i), err)
+		} else if !slices.Contains(all, a) {
+			all = append(all, a)
+		}
+	}
+	if !slices.Contains(all, first) {
+		all = append([]address.Address{first}, all...)
+	}
+	if len(all) > 1 {
+		for _, a := range all {
+			n.Addrs = append(n.Addrs, a.String())
+		}
+	}
+}
+
 func index(words []string, w string) int {
 	for i, x := range words {
 		if x == w {
--- a/internal/testkit/nodes.go
+++ b/internal/testkit/nodes.go
@@ -58,6 +58,7 @@
 // Node is a stand-in for a node of either kind.
 type Node struct {
 	ID, Addr string
+	Addrs    []string // further ones
 	Cell     int
 
 	mu       sync.Mutex
@@ -66,6 +67,7 @@
 	given    []string // ids of parts that were given up
 	conns    map[net.Conn]bool
 	listener net.Listener
+	more     []net.Listener
 	server   *grpc.Server
 	changed  chan struct{} // closed and remade at every change
 }
@@ -87,12 +89,32 @@
 		flight.RegisterFlightServiceServer(n.server, &flightNode{node: n})
 		go func() { _ = n.server.Serve(tracked{l, n}) }() // ends with Stop
 	} else {
-		go n.accept()
+		go n.accept(l)
 	}
 	t.Cleanup(n.Stop)
 	return n
 }
 
+// Also makes a node that speaks frames listen at a further address, which it
+// returns in the list's form.
+func (n *Node) Also(t testing.TB, network, addr string) string {
+	t.Helper()
+	l, err := net.Listen(network, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.more = append(n.more, l)
+	text := l.Addr().String()
+	if network == "unix" {
+		text = "unix:" + text
+	}
+	n.Addrs = append(n.Addrs, text)
+	go n.accept(l)
+	return text
+}
+
 // Work sets how parts end.
 func (n *Node) Work(f func(Call) string) {
 	n.mu.Lock()
@@ -120,6 +142,11 @@
 // Stop closes the node as a dying process would.
 func (n *Node) Stop() {
 	_ = n.listener.Close()
+	n.mu.Lock()
+	for _, l := range n.more {
+		_ = l.Close()
+	}
+	n.mu.Unlock()
 	n.Cut()
 	if n.server != nil {
 		n.server.Stop()
@@ -176,9 +203,9 @@
 
 // ---- The kind that speaks frames
 
-func (n *Node) accept() {
+func (n *Node) accept(l net.Listener) {
 	for {
-		c, err := n.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -34,14 +34,15 @@
 
 // Entry is one line of the list.
 type Entry struct {
-	ID      string  `json:"id"`
-	Addr    string  `json:"addr"`
-	Zone    string  `json:"zone"`
-	Kind    string  `json:"kind"`
-	Cell    int     `json:"cell"`
-	State   string  `json:"state"`
-	Weight  float64 `json:"weight"`
-	Started int64   `json:"started_ms"`
+	ID      string   `json:"id"`
+	Addr    string   `json:"addr"`
+	Addrs   []string `json:"addrs,omitempty"`
+	Zone    string   `json:"zone"`
+	Kind    string   `json:"kind"`
+	Cell    int      `json:"cell"`
+	State   string   `json:"state"`
+	Weight  float64  `json:"weight"`
+	Started int64    `json:"started_ms"`
 }
 
 // Discovery is a stand-in for the agent.
@@ -142,7 +143,7 @@
 
 // Entry is the line of a node in service.
 func (n *Node) Entry() Entry {
-	return Entry{ID: n.ID, Addr: n.Addr, Zone: "neihu", Kind: "std-2c", Cell: n.Cell, State: "in_service", Weight: 1}
+	return Entry{ID: n.ID, Addr: n.Addr, Addrs: n.Addrs, Zone: "neihu", Kind: "std-2c", Cell: n.Cell, State: "in_service", Weight: 1}
 }
 
 // ---- Clients
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 	"onyxsail/broker"
 	"onyxsail/decide"
 	"onyxsail/internal/netio"
+	"onyxsail/reach"
 )
 
 const (
@@ -60,21 +60,26 @@
 
 // Client implements broker.NodeClient.
 type Client struct {
-	opts Options
-	stop chan struct{}
-	done sync.WaitGroup
-
-	mu    sync.Mutex
-	nodes map[string]*node
-	where map[broker.AttemptID]*call
-	conns int
-	shut  bool
+	opts  Options
+	start time.Time // the planner's times are told from it
+	ctx   context.Context
+	end   context.CancelFunc // of the dials
+	stop  chan struct{}
+	done  sync.WaitGroup
+
+	mu      sync.Mutex
+	nodes   map[string]*node
+	where   map[broker.AttemptID]*call
+	conns   int
+	shut    bool
+	planner *reach.Planner // for nodes of several addresses
 }
 
 type node struct {
 	id, addr string
 	listed   bool
 	conns    []*conn
+	paths    *paths // nil: addr is its only address
 
 	usual time.Duration // smoothed time of an answer
 	heard time.Time     // when it was last read from, on any connection
@@ -102,18 +107,22 @@
 	waiting   time.Time // since when parts wait with nothing read; zero: none do
 	spoilt    bool      // nothing more is sent on it
 	ours      bool      // we have closed it
+	blamed    bool      // the planner knows of its present silence
 	last      string    // id of the latest answer
 }
 
 // call is one attempt that is out.
 type call struct {
 	broker.Attempt
-	sent time.Time
-	id   string
-	on   *conn
-	end  int64 // position of its frame's last byte, 0 before it is queued
-	gone bool  // the observer knows that the last byte has left
-	mate []broker.Attempt
+	sent  time.Time
+	id    string
+	on    *conn
+	first int64     // position before its frame's first byte
+	end   int64     // position of its frame's last byte, 0 before it is queued
+	since time.Time // when the core sent it
+	moves int       // addresses that it was sent to before, with nothing left for them
+	gone  bool      // the observer knows that the last byte has left
+	mate  []broker.Attempt
 }
 
 // New returns a client; Close ends it.
@@ -123,7 +132,11 @@
 	if o.ConnectTimeout <= 0 {
 		o.ConnectTimeout = 250 * time.Millisecond
 	}
-	c := &Client{opts: o, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{}, stop: make(chan struct{})}
+	c := &Client{
+		opts: o, start: time.Now(), nodes: map[string]*node{}, where: map[broker.AttemptID]*call{}, stop: make(chan struct{}),
+		planner: reach.New(reach.Defaults(o.MaxConns)),
+	}
+	c.ctx, c.end = context.WithCancel(context.Background())
 	c.done.Add(1)
 	go c.sweep()
 	return c
@@ -138,6 +151,7 @@
 		all = append(all, n.conns...)
 	}
 	c.mu.Unlock()
+	c.end()
 	close(c.stop)
 	for _, cn := range all {
 		cn.fail()
@@ -160,8 +174,13 @@
 			c.nodes[in.ID] = n
 		}
 		n.addr, n.listed = in.Addr, true
+		c.setPaths(n, in.Addrs)
 	}
 	for id, n := range c.nodes {
+		if !n.listed && n.paths != nil { // never dialled again
+			c.planner.Set(id, nil)
+			clear(n.paths.addrs)
+		}
 		if !n.listed && len(n.conns) == 0 {
 			delete(c.nodes, id)
 		}
@@ -172,12 +191,19 @@
 func (c *Client) Send(id string, calls []broker.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sendTo(id, calls, 0)
+}
+
+// sendTo starts attempts that had been at so many addresses of the node before;
+// c.mu is held.
+func (c *Client) sendTo(id string, calls []broker.Attempt, moves int) {
 	n := c.nodes[id]
 	if n == nil || c.shut {
 		c.never(calls)
 		return
 	}
-	alone := time.Now().Before(n.shy)
+	now := time.Now()
+	alone := now.Before(n.shy)
 	cn := n.pick(c.opts.StreamsPerConn, calls, alone)
 	if cn == nil && alone && c.conns >= c.opts.MaxConns {
 		cn = n.pick(c.opts.StreamsPerConn, calls, false)
@@ -189,7 +215,7 @@
 		}
 	}
 	for i := range calls {
-		cl := &call{Attempt: calls[i], id: partID(&calls[i]), on: cn}
+		cl := &call{Attempt: calls[i], id: partID(&calls[i]), on: cn, since: now, moves: moves}
 		if i == 0 {
 			cl.mate = calls
 		}
@@ -236,10 +262,11 @@
 	var best, mute *conn
 	silent, now := 0, time.Now()
 	for _, cn := range n.conns {
-		if cn.gone || cn.spoilt || cn.addr != n.addr {
+		if cn.gone || cn.spoilt || !cn.leads() {
 			continue
 		}
-		quiet := cn.silent(now)
+		cn.blame(now)
+		quiet := cn.silent(now) || cn.doubtful(now)
 		if quiet {
 			silent++
 		}
@@ -285,16 +312,15 @@
 		c: c, node: n, addr: n.addr, used: now, dialed: now,
 		calls: map[string]*call{}, abandoned: map[string]broker.AttemptID{},
 	}
+	several := n.paths != nil
+	if several {
+		cn.addr = "" // the race's winner
+	}
 	n.conns = append(n.conns, cn)
 	c.done.Add(1)
 	go func() {
 		defer c.done.Done()
-		d := net.Dialer{Timeout: c.opts.ConnectTimeout, KeepAlive: -1}
-		nc, err := d.DialContext(context.Background(), "tcp", cn.addr)
-		var sock *netio.Conn
-		if err == nil {
-			sock, err = c.opts.Loop.Attach(nc, cn, nil)
-		}
+		sock, err := c.connect(cn, several)
 		if err == nil {
 			cn.begin(sock)
 			return
@@ -346,11 +372,12 @@
 		return
 	}
 	cn.used = time.Now()
-	end, err := cn.sock.Write(appendCall(nil, out))
+	frame := appendCall(nil, out)
+	end, err := cn.sock.Write(frame)
 	gone := cn.c.opts.Observer != nil && end <= cn.sock.Written()
 	for i := range out {
 		if cl := cn.calls[partID(&out[i])]; cl != nil {
-			cl.end, cl.mate, cl.sent = end, nil, cn.used
+			cl.first, cl.end, cl.mate, cl.sent = end-int64(len(frame)), end, nil, cn.used
 			if cl.gone = gone; gone {
 				cn.c.opts.Observer.Wire(cl.ID, broker.WireGone, cn.addr, cn.used)
 			}
@@ -465,6 +492,8 @@
 	}
 	cn.used = time.Now()
 	cn.heard, cn.node.heard, cn.waiting = cn.used, cn.used, time.Time{}
+	cn.answered(cn.used)
+	cn.blamed = false
 	defer func() {
 		if len(cn.calls) > 0 {
 			cn.waiting = cn.used
@@ -583,6 +612,7 @@
 func (cn *conn) fail() {
 	cn.c.mu.Lock()
 	defer cn.c.mu.Unlock()
+	broke := cn.sock != nil && !cn.ours && !cn.gone
 	if cn.gone {
 		return
 	}
@@ -602,13 +632,16 @@
 	if now := time.Now(); cn.sock != nil && !cn.ours && (len(cn.calls) > 1 || now.Before(cn.node.shy)) {
 		cn.node.shy = now.Add(shyFor)
 	}
+	if broke {
+		cn.reset(time.Now())
+	}
 	for _, cl := range cn.calls {
 		delete(cn.c.where, cl.ID)
-		outcome := decide.Broken
-		if cl.end == 0 || cl.end > written {
-			outcome = decide.Unreachable
+		r := reach.Rule(reach.Cut(cl.first, cl.end, written))
+		if r.Elsewhere && cn.sock != nil && cn.move(cl) {
+			continue
 		}
-		cn.c.opts.Sink.Outcome(cl.ID, outcome, broker.Answer{})
+		cn.c.opts.Sink.Outcome(cl.ID, r.Outcome, broker.Answer{})
 	}
 	for _, sent := range cn.probes {
 		cn.c.opts.Sink.Probed(cn.node.id, decide.Unreachable, time.Since(sent))
@@ -642,6 +675,7 @@
 	if cn.sock == nil || cn.gone || cn.spoilt {
 		return
 	}
+	cn.blame(now)
 	if len(cn.buf) > 0 && now.Sub(cn.heard) > halfFor {
 		cn.spoil(fmt.Errorf("%w: %d bytes of one that never became whole", errFrame, len(cn.buf)))
 		return
@@ -662,7 +696,7 @@
 		cn.stuck = now
 	}
 	idle := time.Duration(idleShare * float64(cn.c.opts.ConnIdle))
-	old := cn.addr != cn.node.addr || !cn.node.listed || idle > 0 && now.Sub(cn.used) > idle ||
+	old := !cn.leads() || !cn.node.listed || idle > 0 && now.Sub(cn.used) > idle ||
 		len(cn.abandoned) >= maxAbandoned
 	if !cn.stuck.IsZero() && now.Sub(cn.stuck) > stuckFor || cn.idle() && old {
 		cn.ours = true
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -416,6 +416,12 @@
 	return switched
 }
 
+// Doubtful says whether an address is in doubt.
+func (p *Planner) Doubtful(id string, a address.Address, now time.Duration) bool {
+	_, s := p.state(id, a)
+	return s != nil && p.against(s, now) > doubtAt
+}
+
 // Silent says that an address of a node keeps parts without a word. Where
 // another address answers, that is evidence against this one, and the node is
 // not to be blamed; where none does, the node itself is silent.
