Reach Flight nodes at several addresses too; share the dialling of both node clients

The frames' client alone raced and fell back; the Flight client dialled `addr`.

What both need (addresses, races, evidence) is one package, `dial`, over the planner; gRPC dials through it. A Flight connection is made anew over another address once an attempt timed out or broke on it, and one that ends before the other side said a word speaks against its address. Unix sockets work for both.

Tests on loopback: a dead first address, a Unix socket that the list takes away, a node that leaves, an address that never greets (its part never ran and goes back to the core), a stall behind an open stream (the next part goes elsewhere).

--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -160,6 +161,7 @@
 		s.Store = &own
 	}
 	s.Addresses = d.nodes.Addresses()
+	maps.Copy(s.Addresses, d.remote.Addresses())
 	if d.tracer != nil {
 		c := d.tracer.Counts()
 		s.Tracing = &c
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -28,7 +28,7 @@
 	kinds := make(map[string]broker.NodeClient, len(nodes))
 	var frames, flight []broker.Node
 	for _, n := range nodes {
-		if strings.HasPrefix(n.Addr, broker.FlightScheme) {
+		if strings.HasPrefix(n.Addr, "grpc+") { // grpc+tcp:, grpc+unix:
 			kinds[n.ID], flight = r.flight, append(flight, n)
 		} else {
 			kinds[n.ID], frames = r.frames, append(frames, n)
--- /dev/null
+++ b/dial/dial.go
@@ -0,0 +1,258 @@
+// Package dial makes connections to nodes that have several addresses. It is
+// what the two node clients share: package reach decides, this one has the
+// sockets and the clock. A node with one address has no place here.
+package dial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/internal/address"
+	"onyxsail/reach"
+)
+
+// switchEvery is how often one node's change of its preferred address is
+// logged.
+const switchEvery = 10 * time.Second
+
+// Paths are the ways to all nodes of several addresses. Its methods may be
+// called from any goroutine and, Dial apart, do not block.
+type Paths struct {
+	timeout time.Duration
+	log     zerolog.Logger
+	start   time.Time
+	ctx     context.Context
+	end     context.CancelFunc
+
+	mu      sync.Mutex
+	planner *reach.Planner
+	nodes   map[string]*node
+}
+
+type node struct {
+	addrs    map[string]address.Address // by their text
+	told     time.Time                  // when a switch was logged last
+	switches int                        // not logged since
+}
+
+// New returns paths to no node. timeout is that of a connection, over all its
+// addresses; conns is how many connections there may be in all.
+func New(timeout time.Duration, conns int, log zerolog.Logger) *Paths {
+	p := &Paths{timeout: timeout, log: log, start: time.Now(), planner: reach.New(reach.Defaults(conns)), nodes: map[string]*node{}}
+	p.ctx, p.end = context.WithCancel(context.Background())
+	return p
+}
+
+// Close breaks off all dials; each Dial returns.
+func (p *Paths) Close() { p.end() }
+
+func (p *Paths) at(t time.Time) time.Duration { return t.Sub(p.start) }
+
+// Set tells a node's addresses, and says whether it has several. With fewer it
+// is forgotten: it is dialled here no more.
+func (p *Paths) Set(id string, texts []string) (several bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.nodes[id]
+	if len(texts) < 2 {
+		if n != nil {
+			p.planner.Set(id, nil)
+			delete(p.nodes, id)
+		}
+		return false
+	}
+	if n == nil {
+		n = &node{}
+		p.nodes[id] = n
+	}
+	n.addrs = make(map[string]address.Address, len(texts))
+	var all []address.Address
+	for _, text := range texts {
+		a, err := address.Parse(text)
+		if err != nil { // the list's reader has checked them
+			p.log.Error().Str("event", "address").Str("node", id).Err(err).Msg("an address cannot be used")
+			continue
+		}
+		n.addrs[text] = a
+		all = append(all, a)
+	}
+	p.planner.Set(id, all)
+	return true
+}
+
+// Has says whether an address is one of a node's.
+func (p *Paths) Has(id, text string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.find(id, text)
+	return ok
+}
+
+// Count is how many addresses a node has.
+func (p *Paths) Count(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := p.nodes[id]; n != nil {
+		return len(n.addrs)
+	}
+	return 0
+}
+
+func (p *Paths) find(id, text string) (a address.Address, ok bool) {
+	if n := p.nodes[id]; n != nil {
+		a, ok = n.addrs[text]
+	}
+	return a, ok
+}
+
+// Doubtful says whether an address is in doubt.
+func (p *Paths) Doubtful(id, text string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.find(id, text)
+	return ok && p.planner.Doubtful(id, a, p.at(now))
+}
+
+// Answered says that a node spoke over an address.
+func (p *Paths) Answered(id, text string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.find(id, text)
+	if !ok || !p.planner.Answered(id, a, p.at(now)) {
+		return
+	}
+	n := p.nodes[id]
+	if n.switches++; now.Sub(n.told) >= switchEvery {
+		p.log.Info().Str("event", "address-switch").Str("node", id).Str("addr", text).Int("times", n.switches).
+			Msg("another address of a node is preferred now")
+		n.told, n.switches = now, 0
+	}
+}
+
+// Silent says that an address keeps parts without a word.
+func (p *Paths) Silent(id, text string, since, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.find(id, text); ok {
+		p.planner.Silent(id, a, p.at(since), p.at(now))
+	}
+}
+
+// Reset says that a connection over an address broke.
+func (p *Paths) Reset(id, text string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.find(id, text); ok {
+		p.planner.Reset(id, a, p.at(now))
+	}
+}
+
+// Views are the addresses of all nodes here, the preferred one first.
+func (p *Paths) Views() map[string][]reach.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make(map[string][]reach.View, len(p.nodes))
+	for id := range p.nodes {
+		all[id] = p.planner.Order(id, p.at(time.Now()))
+	}
+	return all
+}
+
+// ended is what one dial of a race came to.
+type ended struct {
+	addr address.Address
+	conn net.Conn
+	err  error
+	took time.Duration
+}
+
+// Dial makes a connection to a node: it dials the addresses as the planner says,
+// takes the first that comes up, and breaks the others off. When it returns all
+// its dials have ended. text is the address that it leads to.
+func (p *Paths) Dial(ctx context.Context, id string) (conn net.Conn, text string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)()
+	p.mu.Lock()
+	r := p.planner.Begin(id, p.at(time.Now()))
+	p.mu.Unlock()
+	if r == nil {
+		return nil, "", errors.New("dialling a node: it has no address, or too many dials are out")
+	}
+	results := make(chan ended) // each dial is waited for
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for out := 0; ; {
+		p.mu.Lock()
+		now := p.at(time.Now())
+		if ctx.Err() != nil {
+			r.Stop()
+		}
+		s := r.Next(now)
+		p.mu.Unlock()
+		if s.Dial != (address.Address{}) {
+			out++
+			go func() {
+				d, start := net.Dialer{KeepAlive: -1}, time.Now()
+				c, err := d.DialContext(ctx, s.Dial.Network(), s.Dial.Target)
+				results <- ended{s.Dial, c, err, time.Since(start)}
+			}()
+			continue
+		}
+		if out == 0 {
+			break
+		}
+		timer.Reset(time.Hour)
+		if s.Wait > 0 {
+			timer.Reset(max(0, s.Wait-now))
+		}
+		select {
+		case <-timer.C:
+		case e := <-results:
+			out--
+			switch {
+			case p.book(r, e):
+				conn, text = e.conn, e.addr.String()
+				cancel() // the others
+			case e.err != nil:
+				err = e.err
+			}
+		}
+	}
+	if conn != nil {
+		return conn, text, nil
+	}
+	if err == nil {
+		err = errors.New("no address was left")
+	}
+	return nil, "", fmt.Errorf("dialling a node at its addresses: %w", err)
+}
+
+// book takes the end of a dial in, and says whether its connection is the one.
+func (p *Paths) book(r *reach.Race, e ended) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.at(time.Now())
+	switch {
+	case e.err == nil:
+		if r.Up(e.addr, e.took, now) {
+			return true
+		}
+		_ = e.conn.Close()
+	case errors.Is(e.err, context.Canceled):
+		r.Dropped(e.addr, now)
+	case errors.Is(e.err, context.DeadlineExceeded), errors.Is(e.err, os.ErrDeadlineExceeded), errors.Is(e.err, syscall.ETIMEDOUT):
+		r.Failed(e.addr, reach.TimedOut, now)
+	default:
+		r.Failed(e.addr, reach.Refused, now)
+	}
+	return false
+}
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
@@ -23,8 +25,10 @@
 
 	"onyxsail/broker"
 	"onyxsail/decide"
+	"onyxsail/dial"
 	"onyxsail/internal/flightwire"
 	"onyxsail/internal/tracecontext"
+	"onyxsail/reach"
 )
 
 const (
@@ -47,8 +51,9 @@
 // Client implements broker.NodeClient. It holds no socket and no goroutine
 // while no Flight node has work.
 type Client struct {
-	opts Options
-	done sync.WaitGroup
+	opts  Options
+	paths *dial.Paths // to nodes of several addresses
+	done  sync.WaitGroup
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -62,6 +67,8 @@
 	conn     *grpc.ClientConn // nil until it is needed
 	out      int              // attempts and probes
 	listed   bool
+	several  bool                   // paths knows its addresses
+	at       atomic.Pointer[string] // of several, the address that its connection leads to
 }
 
 // New returns a client; Close ends it.
@@ -70,7 +77,7 @@
 		o.ConnectTimeout = 250 * time.Millisecond
 	}
 	o.MaxConns = max(1, o.MaxConns)
-	return &Client{opts: o, nodes: map[string]*node{}, calls: map[broker.AttemptID]context.CancelFunc{}}
+	return &Client{opts: o, paths: dial.New(o.ConnectTimeout, o.MaxConns, o.Log), nodes: map[string]*node{}, calls: map[broker.AttemptID]context.CancelFunc{}}
 }
 
 // Close ends the client and waits for what it has out.
@@ -84,6 +91,7 @@
 		c.hangUp(n)
 	}
 	c.mu.Unlock()
+	c.paths.Close()
 	c.done.Wait()
 }
 
@@ -113,8 +121,17 @@
 			n.addr = addr
 		}
 		n.listed = true
+		n.several = c.paths.Set(in.ID, in.Addrs)
+		if n.several { // what its connection leads to may have gone from the list
+			if at := n.at.Load(); at != nil && !c.paths.Has(in.ID, *at) {
+				n = c.renew(n)
+			}
+		}
 	}
 	for id, n := range c.nodes {
+		if !n.listed && n.several { // never dialled again
+			c.paths.Set(id, nil)
+		}
 		if !n.listed && n.out == 0 {
 			c.hangUp(n)
 			delete(c.nodes, id)
@@ -122,6 +139,78 @@
 	}
 }
 
+// renew gives a node a new connection for what comes next; what is out ends on
+// the old one. c.mu is held.
+func (c *Client) renew(n *node) *node {
+	if n.conn == nil {
+		n.at.Store(nil)
+		return n
+	}
+	fresh := &node{id: n.id, addr: n.addr, listed: n.listed, several: n.several}
+	c.nodes[n.id] = fresh
+	if n.out == 0 {
+		c.hangUp(n)
+	}
+	return fresh
+}
+
+// learn tells the paths what an attempt's end says of its address, and leaves
+// an address that is in doubt then. c.mu is held.
+func (c *Client) learn(n *node, at string, o decide.Outcome, sent time.Time) {
+	now := time.Now()
+	switch o {
+	case decide.OK, decide.Failed, decide.Rejected:
+		c.paths.Answered(n.id, at, now)
+	case decide.Broken:
+		c.paths.Reset(n.id, at, now)
+	case decide.TimedOut:
+		c.paths.Silent(n.id, at, sent, now)
+	}
+	if c.nodes[n.id] == n && !c.shut && c.paths.Doubtful(n.id, at, now) {
+		c.renew(n)
+	}
+}
+
+// dialer is how gRPC reaches a node of several addresses.
+func (c *Client) dialer(n *node) grpc.DialOption {
+	return grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+		conn, at, err := c.paths.Dial(ctx, n.id)
+		if err != nil {
+			return nil, err
+		}
+		n.at.Store(&at)
+		return &greeted{Conn: conn, mute: func() { c.paths.Silent(n.id, at, time.Now(), time.Now()) }}, nil
+	})
+}
+
+// greeted notices a connection that ends before the other side has said a
+// word: HTTP/2 begins with its settings (RFC 9113, section 3.4).
+type greeted struct {
+	net.Conn
+	heard atomic.Bool
+	once  sync.Once
+	mute  func()
+}
+
+// Read implements net.Conn.
+func (g *greeted) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	if n > 0 {
+		g.heard.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (g *greeted) Close() error {
+	g.once.Do(func() {
+		if !g.heard.Load() {
+			g.mute()
+		}
+	})
+	return g.Conn.Close()
+}
+
 // reach returns the node and its connection, made if need be.
 func (c *Client) reach(id string) *node {
 	n := c.nodes[id]
@@ -134,15 +223,20 @@
 				Msg("no connection may be opened")
 			return nil
 		}
-		conn, err := grpc.NewClient("passthrough:///"+n.addr,
+		options := []grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
-			grpc.WithIdleTimeout(time.Duration(idleShare*float64(c.opts.ConnIdle))),
+			grpc.WithIdleTimeout(time.Duration(idleShare * float64(c.opts.ConnIdle))),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer)),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
 				MinConnectTimeout: c.opts.ConnectTimeout,
-			}))
+			}),
+		}
+		if n.several {
+			options = append(options, c.dialer(n))
+		}
+		conn, err := grpc.NewClient("passthrough:///"+n.addr, options...)
 		if err != nil {
 			c.opts.Log.Error().Str("event", "connect").Str("node", id).Err(err).Msg("a node could not be reached")
 			return nil
@@ -170,6 +264,7 @@
 		c.done.Add(1)
 		go func(conn *grpc.ClientConn) {
 			defer c.done.Done()
+			sent := time.Now()
 			outcome, answer, err := c.call(ctx, conn, a)
 			cancel()
 			if err != nil {
@@ -177,6 +272,9 @@
 			}
 			c.mu.Lock()
 			delete(c.calls, a.ID)
+			if at := n.at.Load(); n.several && at != nil {
+				c.learn(n, *at, outcome, sent)
+			}
 			c.release(n)
 			c.mu.Unlock()
 			c.opts.Sink.Outcome(a.ID, outcome, answer)
@@ -369,3 +467,6 @@
 		c.hangUp(n)
 	}
 }
+
+// Addresses are those of the nodes that have several, the preferred one first.
+func (c *Client) Addresses() map[string][]reach.View { return c.paths.Views() }
--- /dev/null
+++ b/flightnode/paths_test.go
@@ -0,0 +1,116 @@
+package flightnode
+
+import (
+	"io"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/testkit"
+)
+
+func start(t *testing.T) (*Client, func(id broker.AttemptID, wait time.Duration, want decide.Outcome)) {
+	t.Helper()
+	s := &sink{got: map[broker.AttemptID][]decide.Outcome{}}
+	c := New(Options{Sink: s, ConnectTimeout: 200 * time.Millisecond, MaxConns: 8, Log: zerolog.New(io.Discard)})
+	t.Cleanup(c.Close)
+	return c, func(id broker.AttemptID, wait time.Duration, want decide.Outcome) {
+		t.Helper()
+		c.Send("n", []broker.Attempt{{ID: id, Query: "q", Shard: int(id), Text: []byte("x"), Wait: wait}})
+		testkit.Eventually(t, "an outcome", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.got[id]) > 0
+		})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.got[id]) != 1 || s.got[id][0] != want {
+			t.Errorf("attempt %d: outcomes %v, want %d once", id, s.got[id], want)
+		}
+	}
+}
+
+// A node whose first address is dead is served over its Unix socket; when the
+// list takes that away, over what is left, and not at all once it is gone.
+func TestSeveralAddresses(t *testing.T) {
+	c, send := start(t)
+	dead, err := net.Listen("tcp", "[::1]:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	n := testkit.NewNode(t, "n", true)
+	sock := n.Also(t, "unix", filepath.Join(t.TempDir(), "n"))
+	gone := broker.FlightScheme + dead.Addr().String()
+	list := func(addrs ...string) {
+		if len(addrs) == 0 {
+			c.Update(nil)
+			return
+		}
+		c.Update([]broker.Node{{ID: "n", Addr: addrs[0], Addrs: addrs}})
+	}
+	list(gone, sock, n.Addr)
+	send(1, time.Minute, decide.OK)
+	if views := c.Addresses()["n"]; len(views) != 3 || views[0].Text != sock || views[0].Why != "last-good" || views[2].Text != gone {
+		t.Errorf("order %+v", views)
+	}
+	list(gone, n.Addr)
+	send(2, time.Minute, decide.OK)
+	if views := c.Addresses()["n"]; len(views) != 2 || views[0].Text != n.Addr {
+		t.Errorf("order %+v", views)
+	}
+	if len(n.Calls()) != 2 {
+		t.Errorf("%d parts ran, want 2", len(n.Calls()))
+	}
+	list()
+	send(3, time.Minute, decide.Unreachable)
+}
+
+// An address that accepts and never greets runs nothing: the part goes back as
+// one that never ran, and the next goes elsewhere.
+func TestAddressThatNeverGreets(t *testing.T) {
+	c, send := start(t)
+	mute, err := net.Listen("tcp", "127.0.0.1:0") // its kernel accepts, and nobody speaks
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	n := testkit.NewNode(t, "n", true)
+	first := broker.FlightScheme + mute.Addr().String()
+	c.Update([]broker.Node{{ID: "n", Addr: first, Addrs: []string{first, n.Addr}}})
+	send(1, time.Minute, decide.Unreachable)
+	testkit.Eventually(t, "the doubt", func() bool { return c.Addresses()["n"][0].Text == n.Addr })
+	served := false
+	for id := broker.AttemptID(2); id < 20 && !served; id++ { // gRPC comes back after a pause
+		c.Send("n", []broker.Attempt{{ID: id, Query: "q", Shard: int(id), Text: []byte("x"), Wait: time.Minute}})
+		testkit.Eventually(t, "an outcome", func() bool {
+			s := c.opts.Sink.(*sink)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			served = len(s.got[id]) > 0 && s.got[id][0] == decide.OK
+			return len(s.got[id]) > 0
+		})
+	}
+	if !served {
+		t.Error("no part was served at the other address")
+	}
+}
+
+// A stall behind an open stream is the attempt's own time-out; what comes next
+// takes another address.
+func TestStallLeavesTheAddress(t *testing.T) {
+	c, send := start(t)
+	stalled, good := testkit.NewNode(t, "n", true), testkit.NewNode(t, "n", true)
+	stalled.Always(testkit.Silent)
+	c.Update([]broker.Node{{ID: "n", Addr: stalled.Addr, Addrs: []string{stalled.Addr, good.Addr}}})
+	send(1, 50*time.Millisecond, decide.TimedOut)
+	send(2, time.Minute, decide.OK)
+	if len(stalled.Calls()) != 1 || len(good.Calls()) != 1 {
+		t.Errorf("%d and %d parts, want one each", len(stalled.Calls()), len(good.Calls()))
+	}
+}
--- a/internal/testkit/nodes.go
+++ b/internal/testkit/nodes.go
@@ -95,8 +95,8 @@
 	return n
 }
 
-// Also makes a node that speaks frames listen at a further address, which it
-// returns in the list's form.
+// Also makes a node listen at a further address, which it returns in the list's
+// form.
 func (n *Node) Also(t testing.TB, network, addr string) string {
 	t.Helper()
 	l, err := net.Listen(network, addr)
@@ -110,8 +110,15 @@
 	if network == "unix" {
 		text = "unix:" + text
 	}
+	if n.server != nil {
+		if text = "grpc+" + text; network != "unix" {
+			text = broker.FlightScheme + l.Addr().String()
+		}
+		go func() { _ = n.server.Serve(tracked{l, n}) }() // ends with Stop
+	} else {
+		go n.accept(l)
+	}
 	n.Addrs = append(n.Addrs, text)
-	go n.accept(l)
 	return text
 }
 
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -4,7 +4,6 @@
 package nodeclient
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 
 	"onyxsail/broker"
 	"onyxsail/decide"
+	"onyxsail/dial"
 	"onyxsail/internal/netio"
 	"onyxsail/reach"
 )
@@ -61,25 +61,22 @@
 // Client implements broker.NodeClient.
 type Client struct {
 	opts  Options
-	start time.Time // the planner's times are told from it
-	ctx   context.Context
-	end   context.CancelFunc // of the dials
+	paths *dial.Paths // to nodes of several addresses
 	stop  chan struct{}
 	done  sync.WaitGroup
 
-	mu      sync.Mutex
-	nodes   map[string]*node
-	where   map[broker.AttemptID]*call
-	conns   int
-	shut    bool
-	planner *reach.Planner // for nodes of several addresses
+	mu    sync.Mutex
+	nodes map[string]*node
+	where map[broker.AttemptID]*call
+	conns int
+	shut  bool
 }
 
 type node struct {
 	id, addr string
 	listed   bool
 	conns    []*conn
-	paths    *paths // nil: addr is its only address
+	several  bool // paths knows its addresses; else addr is its only one
 
 	usual time.Duration // smoothed time of an answer
 	heard time.Time     // when it was last read from, on any connection
@@ -133,10 +130,9 @@
 		o.ConnectTimeout = 250 * time.Millisecond
 	}
 	c := &Client{
-		opts: o, start: time.Now(), nodes: map[string]*node{}, where: map[broker.AttemptID]*call{}, stop: make(chan struct{}),
-		planner: reach.New(reach.Defaults(o.MaxConns)),
+		opts: o, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{}, stop: make(chan struct{}),
+		paths: dial.New(o.ConnectTimeout, o.MaxConns, o.Log),
 	}
-	c.ctx, c.end = context.WithCancel(context.Background())
 	c.done.Add(1)
 	go c.sweep()
 	return c
@@ -151,7 +147,7 @@
 		all = append(all, n.conns...)
 	}
 	c.mu.Unlock()
-	c.end()
+	c.paths.Close()
 	close(c.stop)
 	for _, cn := range all {
 		cn.fail()
@@ -174,12 +170,11 @@
 			c.nodes[in.ID] = n
 		}
 		n.addr, n.listed = in.Addr, true
-		c.setPaths(n, in.Addrs)
+		n.several = c.paths.Set(in.ID, in.Addrs)
 	}
 	for id, n := range c.nodes {
-		if !n.listed && n.paths != nil { // never dialled again
-			c.planner.Set(id, nil)
-			clear(n.paths.addrs)
+		if !n.listed && n.several { // never dialled again
+			c.paths.Set(id, nil)
 		}
 		if !n.listed && len(n.conns) == 0 {
 			delete(c.nodes, id)
@@ -312,7 +307,7 @@
 		c: c, node: n, addr: n.addr, used: now, dialed: now,
 		calls: map[string]*call{}, abandoned: map[string]broker.AttemptID{},
 	}
-	several := n.paths != nil
+	several := n.several
 	if several {
 		cn.addr = "" // the race's winner
 	}
@@ -492,8 +487,9 @@
 	}
 	cn.used = time.Now()
 	cn.heard, cn.node.heard, cn.waiting = cn.used, cn.used, time.Time{}
-	cn.answered(cn.used)
-	cn.blamed = false
+	if cn.blamed = false; cn.node.several {
+		cn.c.paths.Answered(cn.node.id, cn.addr, cn.used)
+	}
 	defer func() {
 		if len(cn.calls) > 0 {
 			cn.waiting = cn.used
@@ -632,8 +628,8 @@
 	if now := time.Now(); cn.sock != nil && !cn.ours && (len(cn.calls) > 1 || now.Before(cn.node.shy)) {
 		cn.node.shy = now.Add(shyFor)
 	}
-	if broke {
-		cn.reset(time.Now())
+	if broke && cn.node.several {
+		cn.c.paths.Reset(cn.node.id, cn.addr, time.Now())
 	}
 	for _, cl := range cn.calls {
 		delete(cn.c.where, cl.ID)
--- a/nodeclient/race_test.go
+++ b/nodeclient/race_test.go
@@ -123,9 +123,7 @@
 			if calls := n.Calls(); len(calls) != 3 {
 				t.Errorf("%d parts ran, want 3", len(calls))
 			}
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if views := c.planner.Order("n", c.now(time.Now())); views[0].Text == first || views[0].Why != "last-good" {
+			if views := c.Addresses()["n"]; views[0].Text == first || views[0].Why != "last-good" {
 				t.Errorf("order %+v", views)
 			}
 		})
@@ -203,7 +201,7 @@
 	c.send("n", attempt(5))
 	s.wait(t, 5, decide.Unreachable)
 	testkit.Eventually(t, "the end of its connections", func() bool { return c.open() == 0 })
-	if views := c.planner.Order("n", 0); views != nil {
+	if views := c.Addresses()["n"]; views != nil {
 		t.Errorf("still known: %v", views)
 	}
 }
@@ -215,7 +213,7 @@
 	c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
 	c.send("n", attempt(1))
 	s.wait(t, 1, decide.OK)
-	if c.planner.Order("n", 0) != nil {
+	if len(c.Addresses()) > 0 {
 		t.Error("the planner knows it")
 	}
 }
