Try addresses in doubt by a probe beside the work, at a bounded rate

An address that had refused or stalled came back only when its evidence had faded, and then with a real part as the first to find out.

The module hears nothing of it. A test holds an address that comes back against its trial.

--- a/daemon/addresses_test.go
+++ b/daemon/addresses_test.go
@@ -50,6 +50,9 @@
 	if views := d.Status().Addresses["s-0"]; len(views) != 3 || views[0].Text != sock || views[0].Why != "last-good" {
 		t.Errorf("status %+v", views)
 	}
+	for range 60 { // further attempts are a share of what came lately
+		ask()
+	}
 	// A new process takes the path over, while the old one is still listed.
 	second := testkit.NewNode(t, "s-1", false)
 	later := second.Entry()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,8 @@
 	}
 	d.nodes = nodeclient.New(nodeclient.Options{
 		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
-		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 5 / 16, Observer: wire, Log: log,
+		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 5 / 16, Observer: wire,
+		Probes: cfg.Settings.MayProbe, Log: log,
 	})
 	d.remote = flightnode.New(flightnode.Options{
 		Sink: s, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Observer: wire, Log: log,
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -178,15 +178,37 @@
 // takes the first that comes up, and breaks the others off. When it returns all
 // its dials have ended. text is the address that it leads to.
 func (p *Paths) Dial(ctx context.Context, id string) (conn net.Conn, text string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, p.timeout)
-	defer cancel()
-	defer context.AfterFunc(p.ctx, cancel)()
 	p.mu.Lock()
 	r := p.planner.Begin(id, p.at(time.Now()))
 	p.mu.Unlock()
 	if r == nil {
 		return nil, "", errors.New("dialling a node: it has no address, or too many dials are out")
 	}
+	return p.Run(ctx, r)
+}
+
+// Trial names an address in doubt that is due to be tried beside the work, as a
+// race that Run must end; nil where none is.
+func (p *Paths) Trial(id string) *reach.Race {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.planner.Trial(id, p.at(time.Now()))
+}
+
+// Proved says that an address has stood its trial.
+func (p *Paths) Proved(id, text string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.find(id, text); ok {
+		p.planner.Proved(id, a, p.at(now))
+	}
+}
+
+// Run runs a race to its end, as Dial does.
+func (p *Paths) Run(ctx context.Context, r *reach.Race) (conn net.Conn, text string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)()
 	results := make(chan ended) // each dial is waited for
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -55,6 +55,7 @@
 	ConnIdle       time.Duration       // the servers'
 	MaxConns       int                 // over all nodes
 	Observer       broker.WireObserver // nil: nobody is told
+	Probes         bool                // nodes answer probes
 	Log            zerolog.Logger
 }
 
@@ -105,6 +106,7 @@
 	spoilt    bool      // nothing more is sent on it
 	ours      bool      // we have closed it
 	blamed    bool      // the planner knows of its present silence
+	trial     bool      // its address is on trial: it carries no parts yet
 	last      string    // id of the latest answer
 }
 
@@ -257,7 +259,7 @@
 	var best, mute *conn
 	silent, now := 0, time.Now()
 	for _, cn := range n.conns {
-		if cn.gone || cn.spoilt || !cn.leads() {
+		if cn.gone || cn.spoilt || cn.trial || !cn.leads() {
 			continue
 		}
 		cn.blame(now)
@@ -301,17 +303,8 @@
 			Msg("no connection may be opened")
 		return nil
 	}
-	c.conns++
-	now := time.Now()
-	cn := &conn{
-		c: c, node: n, addr: n.addr, used: now, dialed: now,
-		calls: map[string]*call{}, abandoned: map[string]broker.AttemptID{},
-	}
 	several := n.several
-	if several {
-		cn.addr = "" // the race's winner
-	}
-	n.conns = append(n.conns, cn)
+	cn := c.newConn(n)
 	c.done.Add(1)
 	go func() {
 		defer c.done.Done()
@@ -327,6 +320,21 @@
 	return cn
 }
 
+// newConn books a connection in the making; c.mu is held.
+func (c *Client) newConn(n *node) *conn {
+	c.conns++
+	now := time.Now()
+	cn := &conn{
+		c: c, node: n, addr: n.addr, used: now, dialed: now,
+		calls: map[string]*call{}, abandoned: map[string]broker.AttemptID{},
+	}
+	if n.several {
+		cn.addr = "" // the race's winner
+	}
+	n.conns = append(n.conns, cn)
+	return cn
+}
+
 // begin sends what waited for the connection.
 func (cn *conn) begin(sock *netio.Conn) {
 	cn.c.mu.Lock()
@@ -336,6 +344,9 @@
 		return
 	}
 	cn.sock = sock
+	if cn.trial && !cn.try() {
+		return
+	}
 	for range cn.probes {
 		if _, err := cn.sock.Write(appendProbe(nil)); err != nil {
 			return
@@ -487,7 +498,7 @@
 	}
 	cn.used = time.Now()
 	cn.heard, cn.node.heard, cn.waiting = cn.used, cn.used, time.Time{}
-	if cn.blamed = false; cn.node.several {
+	if cn.blamed = false; cn.node.several && !cn.trial {
 		cn.c.paths.Answered(cn.node.id, cn.addr, cn.used)
 	}
 	defer func() {
@@ -582,6 +593,10 @@
 		}
 		cn.c.opts.Sink.Outcome(cl.ID, r.end, broker.Answer{Value: r.value, Began: cn.began})
 	case 'H', 'M':
+		if cn.trial {
+			cn.stand(string(rest) == "done")
+			return nil
+		}
 		if len(cn.probes) > 0 {
 			sent := cn.probes[0]
 			cn.probes = cn.probes[1:]
@@ -661,6 +676,9 @@
 				for _, cn := range n.conns {
 					cn.look(now)
 				}
+				if n.several {
+					c.trials(n)
+				}
 			}
 			c.mu.Unlock()
 		}
@@ -672,6 +690,10 @@
 		return
 	}
 	cn.blame(now)
+	if cn.trial && now.Sub(cn.dialed) > cn.c.opts.ConnectTimeout+deadFor {
+		cn.stand(false)
+		return
+	}
 	if len(cn.buf) > 0 && now.Sub(cn.heard) > halfFor {
 		cn.spoil(fmt.Errorf("%w: %d bytes of one that never became whole", errFrame, len(cn.buf)))
 		return
--- a/nodeclient/race.go
+++ b/nodeclient/race.go
@@ -35,6 +35,65 @@
 	}
 }
 
+// trials starts the trial of an address in doubt, where one is due; c.mu is held.
+func (c *Client) trials(n *node) {
+	if !n.listed || c.shut || c.conns >= c.opts.MaxConns {
+		return
+	}
+	r := c.paths.Trial(n.id)
+	if r == nil {
+		return
+	}
+	cn := c.newConn(n)
+	cn.trial = true
+	c.done.Add(1)
+	go func() {
+		defer c.done.Done()
+		nc, addr, err := c.paths.Run(context.Background(), r)
+		if err != nil {
+			cn.fail()
+			return
+		}
+		c.mu.Lock()
+		cn.addr = addr
+		c.mu.Unlock()
+		if sock, err := c.opts.Loop.Attach(nc, cn, nil); err == nil {
+			cn.begin(sock)
+		} else {
+			cn.fail()
+		}
+	}()
+}
+
+// try begins a trial on an open connection: a probe, where nodes answer them,
+// else that it came up is all the proof there is. It says whether the connection
+// goes on. c.mu is held.
+func (cn *conn) try() bool {
+	if !cn.c.opts.Probes {
+		return cn.stand(true)
+	}
+	if _, err := cn.sock.Write(appendProbe(nil)); err != nil {
+		cn.sock.Close()
+		return false
+	}
+	return true
+}
+
+// stand ends a trial, and says whether the connection goes on, for parts then;
+// c.mu is held.
+func (cn *conn) stand(ok bool) bool {
+	now := time.Now()
+	cn.trial = false
+	if ok {
+		cn.c.paths.Proved(cn.node.id, cn.addr, now)
+		return true
+	}
+	cn.c.paths.Silent(cn.node.id, cn.addr, cn.dialed, now)
+	cn.ours = true
+	cn.sock.Close()
+	return false
+}
+
 // move sends a part of which nothing has left over another connection of its
 // node, within the same attempt; false where it can't be. c.mu is held.
 func (cn *conn) move(cl *call) bool {
--- a/nodeclient/race_test.go
+++ b/nodeclient/race_test.go
@@ -217,3 +217,32 @@
 		t.Error("the planner knows it")
 	}
 }
+
+// An address in doubt is tried beside the work, by a probe; once it answers it
+// is trusted again, and while it does not it carries no part.
+func TestTrialsBesideTheWork(t *testing.T) {
+	c, s := client(t, 1, 0)
+	c.mu.Lock()
+	c.opts.Probes = true
+	c.mu.Unlock()
+	n := testkit.NewNode(t, "n", false)
+	path := filepath.Join(t.TempDir(), "n")
+	c.list("unix:"+path, n.Addr) // nobody listens at the path yet
+	c.send("n", attempt(1))
+	s.wait(t, 1, decide.OK)
+	if views := c.Addresses()["n"]; views[1].Why != "in-doubt" {
+		t.Fatalf("order %+v", views)
+	}
+	n.Also(t, "unix", path)
+	testkit.Eventually(t, "the trial", func() bool { return c.Addresses()["n"][1].Why == "proven" })
+	if views := c.Addresses()["n"]; views[0].Text != n.Addr || len(n.Calls()) != 1 {
+		t.Errorf("order %+v after %d parts", views, len(n.Calls()))
+	}
+	c.send("n", attempt(2))
+	s.wait(t, 2, decide.OK)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.probes) != 0 {
+		t.Errorf("the module heard of %d trials as probes", len(s.probes))
+	}
+}
