--- a/cli/cli.go
+++ b/cli/cli.go
@@ -38,7 +38,7 @@
 	root.SetErr(errs)
 	var path string
 	root.PersistentFlags().StringVar(&path, "config", "", "configuration file (default: the one NODE_CONFIG names)")
-	root.AddCommand(serveCmd(&path), versionCmd(), checkCmd(&path), configCmd(&path), statusCmd(&path), traceCmd(&path))
+	root.AddCommand(serveCmd(&path), versionCmd(), checkCmd(&path), configCmd(&path), statusCmd(&path), traceCmd(&path), addressesCmd(&path))
 	return root
 }
 
