End `trace tail` streams when the broker is told to stop

A stop waits for its clients' Flight streams, and a reader that follows traces never ends its own: a broker with an open `trace tail` stopped 8 s late, with "context deadline exceeded", and the reader got an error.

The trace commands share how they read what their flags pick.

--- a/cli/trace.go
+++ b/cli/trace.go
@@ -79,16 +79,21 @@
 	return f, nil
 }
 
-// read gathers what matches.
-func (s *source) read(cmd *cobra.Command, f record.Filter) ([]*record.Trace, error) {
+// read gathers what the flags pick, and the id if one is given.
+func (s *source) read(cmd *cobra.Command, id string) ([]*record.Trace, error) {
 	s.warning = cmd.ErrOrStderr()
+	f, err := s.filter(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	f.ID = id
 	if s.dir != "" {
 		return s.readDir(f)
 	}
 	var traces []*record.Trace
 	ctx, cancel := context.WithTimeout(cmd.Context(), 4*remoteWithin)
 	defer cancel()
-	err := s.stream(ctx, daemon.ActionTraceRead, f, func(t *record.Trace) error {
+	err = s.stream(ctx, daemon.ActionTraceRead, f, func(t *record.Trace) error {
 		traces = append(traces, t)
 		return nil
 	})
@@ -185,11 +190,7 @@
 	return s.windowed(&cobra.Command{
 		Use: "list", Short: "List traces, the latest last", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			f, err := s.filter(time.Now())
-			if err != nil {
-				return err
-			}
-			traces, err := s.read(cmd, f)
+			traces, err := s.read(cmd, "")
 			if err != nil {
 				return err
 			}
@@ -217,12 +218,7 @@
 	return s.windowed(&cobra.Command{
 		Use: "show ID", Short: "Show a trace as a waterfall, by the beginning of its id or by its query's id", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			f, err := s.filter(time.Now())
-			if err != nil {
-				return err
-			}
-			f.ID = args[0]
-			traces, err := s.read(cmd, f)
+			traces, err := s.read(cmd, args[0])
 			if err != nil {
 				return err
 			}
@@ -253,11 +249,7 @@
 	cmd := s.windowed(&cobra.Command{
 		Use: "why", Short: "Tell which phase, node, cell and reason of attempts carry the lost time", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			f, err := s.filter(time.Now())
-			if err != nil {
-				return err
-			}
-			traces, err := s.read(cmd, f)
+			traces, err := s.read(cmd, "")
 			if err != nil {
 				return err
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -311,6 +311,9 @@
 	ctx, cancel := context.WithTimeout(ctx, window+drainWithin)
 	defer cancel()
 	d.front.Drain(ctx, window)
+	if d.tracer != nil {
+		d.tracer.EndFollowers()
+	}
 	if d.flight != nil {
 		d.flight.Drain(ctx)
 	}
--- a/tracing/end_test.go
+++ b/tracing/end_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// A reader that follows does not hold up a broker that is told to stop.
+func TestStopEndsFollowers(t *testing.T) {
+	d, _ := start(t, 1, false, map[string]any{}, nil)
+	root := cli.New(&lockedBuffer{}, &lockedBuffer{})
+	root.SetArgs([]string{"trace", "tail", "--addr", d.FlightAddr().String()})
+	tailed := make(chan error, 1)
+	go func() { tailed <- root.ExecuteContext(context.Background()) }()
+	testkit.Eventually(t, "a follower", func() bool { return d.Status().Tracing.Following == 1 })
+	if err := d.Stop(context.Background()); err != nil { // with the time for its drain used up
+		t.Error(err)
+	}
+	if err := <-tailed; err != nil {
+		t.Errorf("tail: %v", err)
+	}
+}
+
 // The commands, asked of a live broker: a listed late query, its waterfall,
 // where the time went, what is kept as it comes, and all of it as JSON.
 func TestTraceCommands(t *testing.T) {
--- a/tracing/read.go
+++ b/tracing/read.go
@@ -68,11 +68,15 @@
 }
 
 // Follow calls f with each trace that is kept from now on and matches, until
-// ctx ends, f fails or the tracer is closed. A reader that is too slow misses
+// ctx ends, f fails or followers are ended. A reader that is too slow misses
 // traces, which Counts tells.
 func (t *Tracer) Follow(ctx context.Context, filter record.Filter, f func(*record.Trace) error) error {
 	ch := make(chan *record.Trace, maxFollow)
 	t.mu.Lock()
+	if t.follow == nil { // they have been ended
+		t.mu.Unlock()
+		return nil
+	}
 	t.follow[ch] = true
 	t.mu.Unlock()
 	defer func() {
@@ -97,6 +101,17 @@
 	}
 }
 
+// EndFollowers ends all calls of Follow, and those to come: a broker that is
+// told to stop waits for its clients' streams, which these would never end.
+func (t *Tracer) EndFollowers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for ch := range t.follow {
+		close(ch)
+	}
+	t.follow = nil
+}
+
 // Counts is what the tracer tells of itself.
 type Counts struct {
 	Open       int            `json:"open"`
--- a/tracing/tracer.go
+++ b/tracing/tracer.go
@@ -200,18 +200,13 @@
 // Close writes and sends what is kept, and ends the tracer. No call may come
 // any more.
 func (t *Tracer) Close(ctx context.Context) {
+	t.EndFollowers()
 	close(t.stop)
 	t.done.Wait()
 	t.collect(true)
 	if t.exporter != nil {
 		t.exporter.Close(ctx)
 	}
-	t.mu.Lock()
-	for ch := range t.follow {
-		close(ch)
-	}
-	t.follow = map[chan *record.Trace]bool{}
-	t.mu.Unlock()
 	t.closeSpool()
 }
 
