Accept the platform's admin address, on which every broker refused to start

Ruled out: linkage, the loaded library, sockets (nothing had been opened). At fault: the strict decoding into config.file, rightly strict for typing errors in an operator's file, but the platform's own field must be known to it.

Other unknown fields are refused as before. The test fails without the field.

--- a/config/config.go
+++ b/config/config.go
@@ -58,6 +58,9 @@
 	Name      string
 	Listen    string
 	Discovery string
+	// Admin is an address that the platform's file may name for an operators'
+	// port. No page says yet what is to answer there, so nothing listens.
+	Admin string
 	// FileDiscovery is the file's own word, which NODE_DISCOVERY may have
 	// overridden in Discovery.
 	FileDiscovery string
@@ -85,6 +88,7 @@
 	Name       string          `json:"name"`
 	Listen     string          `json:"listen"`
 	Discovery  string          `json:"discovery"`
+	Admin      string          `json:"admin"`
 	Seed       string          `json:"seed"`
 	Limits     Limits          `json:"limits"`
 	Known      json.RawMessage `json:"known"`
@@ -190,7 +194,7 @@
 		}
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, FileDiscovery: own, Limits: f.Limits,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, FileDiscovery: own, Admin: f.Admin, Limits: f.Limits,
 		HandOver: defaultHandOver, LogLevel: f.LogLevel, Flight: f.Flight, Store: f.Store,
 	}
 	if f.Tracing != nil {
@@ -346,6 +350,11 @@
 			return wrong(path, "got %q, want host:port", addr)
 		}
 	}
+	if c.Admin != "" {
+		if _, port, err := net.SplitHostPort(c.Admin); err != nil || port == "" {
+			return wrong("admin", "got %q, want host:port", c.Admin)
+		}
+	}
 	switch {
 	case c.Name == "":
 		return wrong("name", "missing")
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// The platform's file may name an operators' port. All brokers refused to start
+// when it first did.
+func TestAdminIsNoFault(t *testing.T) {
+	data := testkit.Config("127.0.0.1:1", nil, testkit.Settings(nil), map[string]any{"admin": "10.0.0.14:9901"})
+	if c, err := Parse(data, none); err != nil || c.Admin != "10.0.0.14:9901" {
+		t.Errorf("got %+v, %v", c, err)
+	}
+}
+
 // A fault names its field.
 func TestFaults(t *testing.T) {
 	flight := map[string]any{"listen": "127.0.0.1:1"}
@@ -43,6 +52,8 @@
 		{"name", map[string]any{"name": ""}},
 		{"listen", map[string]any{"listen": "127.0.0.1"}},
 		{"discovery", map[string]any{"discovery": "nowhere"}},
+		{"admin", map[string]any{"admin": "nowhere"}},
+		{"admin", map[string]any{"admin": 9901}},
 		{"seed", map[string]any{"seed": "xyz"}},
 		{"limits.memory_mb", map[string]any{"limits": map[string]any{"memory_mb": -1}}},
 		{"limits.sockets", map[string]any{"limits": map[string]any{"sockets": 3}}},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -191,6 +191,10 @@
 	d.mu.Lock()
 	d.followAt(cfg.Discovery)
 	d.mu.Unlock()
+	if cfg.Admin != "" {
+		log.Info().Str("event", "unused").Str("field", "admin").Str("value", cfg.Admin).
+			Msg("the configuration names a field that this broker has no use for")
+	}
 	log.Info().Str("event", "started").Str("name", cfg.Name).Str("listen", d.Addr().String()).
 		Str("procs", strconv.Itoa(runtime.GOMAXPROCS(0))).Msg("serving")
 	return d, nil
