Follow discovery from the list in hand, with calls spread over the fleet

After a kill of 56 brokers in one moment their calls came 273 within the next second, in step to the millisecond (45, 70, 115, 200, 366 ms after each start).

Calls of the watch fail from the first one on, right behind the whole list that all 80 brokers had asked for at their start (4,800 lines); nothing else went to discovery. Ruled out: the watch's form, the connection, our time-out.

At fault: Client.step asking for the whole list at every start, though the platform hands one over with its version; firstPause 20 ms and longPause 1 s in Client.Run without any spread, right for 2 or 3 brokers.

Change: a start with a known list watches from its version.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,7 +143,9 @@
 	// An empty list tells nothing: handed on, it would make every node of the
 	// first real list a newcomer, which the module spares as cold, and a broker
 	// without traffic yet would refuse all for as long.
+	var known *int64
 	if cfg.Known != nil && len(cfg.Known.Nodes) > 0 {
+		known = &cfg.Known.Version
 		d.seen.deliver(broker.Roster{Kind: decide.ListCached, Version: cfg.Known.Version, Nodes: cfg.Known.Nodes})
 	} else if d.store != nil { // the last list that the group had, maybe old
 		if last := d.store.State().Roster; len(last.Nodes) > 0 {
@@ -189,7 +191,7 @@
 		d.core.Run(run)
 	}()
 	d.mu.Lock()
-	d.followAt(cfg.Discovery)
+	d.followAt(cfg.Discovery, known)
 	d.mu.Unlock()
 	if cfg.Admin != "" {
 		log.Info().Str("event", "unused").Str("field", "admin").Str("value", cfg.Admin).
@@ -200,10 +202,10 @@
 	return d, nil
 }
 
-// followAt begins to watch discovery at addr and ends the watch before it,
-// whose late answers no longer count: they would bring an old list back. d.mu
-// is held.
-func (d *Daemon) followAt(addr string) {
+// followAt begins to watch discovery at addr, from the version in hand where
+// that is this discovery's, and ends the watch before it, whose late answers no
+// longer count: they would bring an old list back. d.mu is held.
+func (d *Daemon) followAt(addr string, known *int64) {
 	if d.watch != nil {
 		d.watch()
 	}
@@ -211,6 +213,7 @@
 	ctx, d.watch = context.WithCancel(context.Background())
 	client := discovery.New(discovery.Options{
 		Addr: addr, Zones: d.cfg.Zones, Kinds: d.cfg.Kinds, Log: d.log, Deliver: d.seen.source(),
+		Known: known, Brokers: d.cfg.Settings.Roots, Seed: d.cfg.Seed,
 	})
 	d.wg.Add(1)
 	go func() {
@@ -250,7 +253,7 @@
 		d.core.SetLimits(d.limits)
 	}
 	if next.Discovery != old.Discovery {
-		d.followAt(next.Discovery)
+		d.followAt(next.Discovery, nil)
 	}
 	d.log.Info().Str("event", "reload").Str("discovery", next.Discovery).Bool("moved", next.Discovery != old.Discovery).
 		Strs("need_restart", config.NeedRestart(old, cfg)).Msg("the configuration file was read again")
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -22,16 +22,19 @@
 	maxList     = 8 << 20
 	watchFor    = 20 * time.Second
 	answerSlack = 2 * time.Second // beyond what a call may wait
-	firstPause  = 20 * time.Millisecond
-	longPause   = time.Second
 )
 
 // Options make a Client.
 type Options struct {
 	Addr         string
 	Zones, Kinds []string
-	Deliver      func(broker.Roster)
-	Log          zerolog.Logger
+	// Known is the version of the list in hand from this discovery; nil: none
+	// is, and the whole list is asked for.
+	Known   *int64
+	Brokers int    // that ask this discovery
+	Seed    uint64 // different at each of them
+	Deliver func(broker.Roster)
+	Log     zerolog.Logger
 }
 
 // Client follows the list. It keeps one connection.
@@ -40,28 +43,37 @@
 	conn    net.Conn
 	parser  http1.Parser
 	version int64 // of the latest answer
-	whole   bool  // a full list has come
+	whole   bool  // a full list is in hand
 }
 
 // New returns a client that Run starts.
-func New(o Options) *Client { return &Client{opts: o} }
+func New(o Options) *Client {
+	c := &Client{opts: o}
+	if o.Known != nil {
+		c.version, c.whole = *o.Known, true
+	}
+	return c
+}
 
-// Run follows the list until ctx ends. The next call goes out as soon as an
+// Run follows the list until ctx ends. A list in hand is carried on from its
+// version: each line of a whole list costs discovery work, and brokers that
+// start together would keep it from telling changes to anybody. The next call goes out as soon as an
 // answer is read, which keeps the watch going: a call over 200 ms later would
 // begin a new one.
 func (c *Client) Run(ctx context.Context) {
 	defer c.hangUp()
-	pause := firstPause
+	pace := NewPace(c.opts.Brokers, c.opts.Seed)
 	for ctx.Err() == nil {
 		err := c.step(ctx)
 		if err == nil {
-			pause = firstPause
+			pace.Answered()
 			continue
 		}
 		c.hangUp()
 		if ctx.Err() != nil {
 			return
 		}
+		pause := pace.Failed()
 		// What is in hand stands: the module works on with its old list.
 		c.opts.Log.Warn().Str("event", "discovery").Err(err).Dur("pause", pause).Msg("discovery does not answer")
 		t := time.NewTimer(pause)
@@ -70,7 +82,6 @@
 		case <-t.C:
 		}
 		t.Stop()
-		pause = min(2*pause, longPause)
 	}
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -115,3 +115,30 @@
 		t.Errorf("calls %q", calls)
 	}
 }
+
+// A broker that starts with a list in hand asks for what is newer alone: whole
+// lists for all that restart together would keep discovery busy for seconds.
+func TestCarriesOnFromKnown(t *testing.T) {
+	n := testkit.NewNode(t, "s-1", false)
+	d := testkit.NewDiscovery(t, n.Entry())
+	e := n.Entry()
+	e.State = "terminating"
+	d.Change(e)
+	known, got := int64(1), make(chan broker.Roster, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		New(Options{Addr: d.Addr, Zones: []string{"neihu"}, Known: &known, Log: zerolog.New(io.Discard),
+			Deliver: func(r broker.Roster) { got <- r }}).Run(ctx)
+	}()
+	r := <-got
+	cancel()
+	<-ended
+	if r.Kind != decide.ListDelta || r.Version != 2 || len(r.Nodes) != 1 || r.Nodes[0].State != decide.Draining {
+		t.Errorf("got %+v", r)
+	}
+	if calls := d.Calls(); !strings.Contains(calls[0], "after=1") {
+		t.Errorf("calls %q", calls)
+	}
+}
