Spread calls of discovery over the fleet, so that none is made in vain

Checked: when each first news came, over all brokers; calls fail after 2.0 s. 75 ms a call, whether it brings 0 or 36 lines. That nothing at all is answered once 44 calls were turned away together says that calls which were given up are worked through all the same: 44 take 3.3 s, and the next 44 came 0.2 to 0.6 s later. Ruled out: discovery being down (brokers followed before got changes at 19.9 and 20.1 s).

At fault: Client.Run calling at once at a start, and Pace growing from 0.4 s for 80.

Change: where the list must be asked for, a broker's first call and first pause are drawn over 50 ms for each broker, later pauses over 100 ms, at most half the silence allowed; up to four brokers, and where the list is pushed, all stays as it was.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,9 +211,14 @@
 	}
 	var ctx context.Context
 	ctx, d.watch = context.WithCancel(context.Background())
+	brokers := 0
+	if d.cfg.Settings.AskForList {
+		brokers = d.cfg.Settings.Roots
+	}
 	client := discovery.New(discovery.Options{
 		Addr: addr, Zones: d.cfg.Zones, Kinds: d.cfg.Kinds, Log: d.log, Deliver: d.seen.source(),
-		Known: known, Brokers: d.cfg.Settings.Roots, Seed: d.cfg.Seed,
+		Known: known, Brokers: brokers, Seed: d.cfg.Seed,
+		Silence: time.Duration(d.cfg.Settings.AskWithinMs / 2 * float64(time.Millisecond)),
 	})
 	d.wg.Add(1)
 	go func() {
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -31,8 +31,10 @@
 	// Known is the version of the list in hand from this discovery; nil: none
 	// is, and the whole list is asked for.
 	Known   *int64
-	Brokers int    // that ask this discovery
-	Seed    uint64 // different at each of them
+	Brokers int // that share a discovery of scarce room; 0: its answers cost nothing
+	// Silence is the longest that a broker should go without asking.
+	Silence time.Duration
+	Seed    uint64 // different at each broker
 	Deliver func(broker.Roster)
 	Log     zerolog.Logger
 }
@@ -62,7 +64,10 @@
 // begin a new one.
 func (c *Client) Run(ctx context.Context) {
 	defer c.hangUp()
-	pace := NewPace(c.opts.Brokers, c.opts.Seed)
+	pace := NewPace(c.opts.Brokers, c.opts.Silence, c.opts.Seed)
+	if c.whole && !sleep(ctx, pace.Start()) {
+		return
+	}
 	for ctx.Err() == nil {
 		err := c.step(ctx)
 		if err == nil {
@@ -76,12 +81,19 @@
 		pause := pace.Failed()
 		// What is in hand stands: the module works on with its old list.
 		c.opts.Log.Warn().Str("event", "discovery").Err(err).Dur("pause", pause).Msg("discovery does not answer")
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		sleep(ctx, pause)
+	}
+}
+
+// sleep waits for d; it returns false once ctx ends.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
 }
 
--- a/discovery/pace.go
+++ b/discovery/pace.go
@@ -8,36 +8,49 @@
 const (
 	firstPause = 20 * time.Millisecond // for one broker alone
 	longPause  = time.Second
-	// Where many brokers ask one discovery, each gives the others this much
-	// room: together they then ask some firstPer and longPer apart.
-	firstPer = 5 * time.Millisecond
-	longPer  = 50 * time.Millisecond
+	// Where many brokers ask one discovery, each leaves the others this much
+	// time, and twice that once calls fail again and again.
+	perBroker = 50 * time.Millisecond
+	// few brokers may ask at the same moment.
+	few = 4
 )
 
-// Pace says how long a broker waits before it asks discovery again. It does no
-// I/O and reads no clock.
+// Pace says when a broker asks discovery: it does no I/O and reads no clock.
 //
-// All brokers ask one discovery, and what makes one call fail makes theirs fail
-// at the same moment. Pauses therefore grow with the number of brokers and are
-// drawn at random: a discovery that can answer only some of them is asked less
-// and less often, instead of by all in step for as long as it is short.
+// All brokers ask one discovery, and what makes one of them ask, or fail, makes
+// the others do the same at that moment. Calls wait in its queue until their
+// time is up, and what has given up is served all the same: asked anew too
+// early, discovery works through calls that nobody waits for any more, and then
+// answers none. So each broker leaves room for the others, by their number, and
+// draws its moment at random.
 type Pace struct {
-	first, longest, next time.Duration
-	rng                  *rand.Rand
+	start, first, longest, next time.Duration
+	rng                         *rand.Rand
 }
 
-// NewPace returns the pace of one broker of so many. Brokers are given
-// different seeds.
-func NewPace(brokers int, seed uint64) *Pace {
+// NewPace returns the pace of one of so many brokers that ask the same
+// discovery. No pause is much longer than longest, if that is given. Brokers
+// are given different seeds.
+func NewPace(brokers int, longest time.Duration, seed uint64) *Pace {
 	n := time.Duration(max(1, brokers))
 	p := &Pace{
-		first: max(firstPause, n*firstPer), longest: max(longPause, n*longPer),
+		start: max(0, n-few) * perBroker, first: firstPause, longest: longPause,
 		rng: rand.New(rand.NewPCG(seed, 0x9ace)),
 	}
+	if n > few {
+		p.first, p.longest = n*perBroker, max(longPause, 2*n*perBroker)
+	}
+	if longest > 0 {
+		p.start, p.first, p.longest = min(p.start, longest), min(p.first, longest), min(p.longest, longest)
+	}
 	p.Answered()
 	return p
 }
 
+// Start returns how long a broker that has just started waits before its first
+// call. Where most of them are restarted together, all would ask at once.
+func (p *Pace) Start() time.Duration { return time.Duration(p.rng.Float64() * float64(p.start)) }
+
 // Answered notes that discovery has answered.
 func (p *Pace) Answered() { p.next = p.first }
 
--- a/discovery/pace_test.go
+++ b/discovery/pace_test.go
@@ -1,57 +1,95 @@
 package discovery
 
 import (
-	"sort"
+	"slices"
 	"testing"
 	"time"
 )
 
-// Eighty brokers whose calls all failed at one moment, and go on failing, must
-// neither ask in step nor press discovery with more than a few calls a second
-// each; two or three still hear at once of a discovery that is back.
-func TestBrokersDoNotAskInStep(t *testing.T) {
+// office is a discovery of scarce room: one call after another takes `each`,
+// one that has waited for `patience` is told no, and is served all the same.
+type office struct {
+	each, patience time.Duration
+	free           time.Duration // when it is done with all that was asked
+}
+
+// ask returns when the caller hears, and whether it is an answer.
+func (o *office) ask(at time.Duration) (time.Duration, bool) {
+	o.free = max(o.free, at) + o.each
+	if o.free-at > o.patience {
+		return at + o.patience, false
+	}
+	return o.free, true
+}
+
+// follow lets brokers ask until all are answered; it returns when each was.
+func follow(o *office, paces []*Pace) []time.Duration {
+	type call struct {
+		at time.Duration
+		p  *Pace
+	}
+	var calls []call
+	for _, p := range paces {
+		calls = append(calls, call{p.Start(), p})
+	}
+	var answered []time.Duration
+	for len(calls) > 0 && calls[0].at < time.Minute {
+		slices.SortFunc(calls, func(a, b call) int { return int(a.at - b.at) })
+		c := calls[0]
+		calls = calls[1:]
+		if at, ok := o.ask(c.at); ok {
+			c.p.Answered()
+			answered = append(answered, at)
+		} else {
+			calls = append(calls, call{at + c.p.Failed(), c.p})
+		}
+	}
+	return answered
+}
+
+// Most of eighty brokers restart at one moment, and discovery can answer some
+// thirteen a second. Asked by all at once, and again by all that it turned away,
+// it would serve nothing but calls that nobody waits for any more.
+func TestAllBrokersAreAnsweredAfterARelease(t *testing.T) {
 	for _, c := range []struct {
-		brokers          int
-		inStep, inSecond int           // calls of all within 10 ms, and within a second once pauses have grown
-		back             time.Duration // the longest that any one stays away
-	}{{80, 12, 40, 6 * time.Second}, {3, 3, 9, 1500 * time.Millisecond}} {
-		var calls []time.Duration
-		for i := range c.brokers {
-			p, at := NewPace(c.brokers, uint64(i+1)), time.Duration(0)
-			for at < 60*time.Second {
-				pause := p.Failed()
-				if pause > c.back {
-					t.Errorf("%d brokers: one stays away for %v", c.brokers, pause)
-				}
-				at += pause
-				calls = append(calls, at)
-			}
+		each time.Duration
+		all  time.Duration // by then each broker has its answer
+	}{{75 * time.Millisecond, 12 * time.Second}, {10 * time.Millisecond, 5 * time.Second}, {150 * time.Millisecond, 45 * time.Second}} {
+		var paces []*Pace
+		for i := range 56 {
+			paces = append(paces, NewPace(80, 5*time.Second, uint64(i+1)))
 		}
-		sort.Slice(calls, func(i, j int) bool { return calls[i] < calls[j] })
-		within := func(span, from time.Duration) (most int) {
-			first := 0
-			for last, at := range calls {
-				for at-calls[first] >= span {
-					first++
-				}
-				if calls[first] >= from {
-					most = max(most, last-first+1)
-				}
-			}
-			return most
+		answered := follow(&office{each: c.each, patience: 2 * time.Second}, paces)
+		if len(answered) < len(paces) || slices.Max(answered) > c.all {
+			t.Errorf("%v a call: %d of %d answered, the last after %v", c.each, len(answered), len(paces), slices.Max(answered))
+		}
+	}
+}
+
+// Two or three brokers go on asking at once, and soon hear of a discovery that
+// is back.
+func TestFewBrokersAskAtOnce(t *testing.T) {
+	for _, brokers := range []int{0, 1, 3, few} {
+		p := NewPace(brokers, 5*time.Second, 7)
+		if d := p.Start(); d != 0 {
+			t.Errorf("%d brokers: the first call after %v", brokers, d)
 		}
-		if n := within(10*time.Millisecond, 0); n > c.inStep {
-			t.Errorf("%d brokers: %d calls within 10 ms", c.brokers, n)
+		if d := p.Failed(); d > 2*firstPause {
+			t.Errorf("%d brokers: the first pause is %v", brokers, d)
 		}
-		if n := within(time.Second, 20*time.Second); n > c.inSecond {
-			t.Errorf("%d brokers: %d calls within a second", c.brokers, n)
+		for range 20 {
+			if d := p.Failed(); d > 2*longPause {
+				t.Errorf("%d brokers: a pause of %v", brokers, d)
+			}
+		}
+		if p.Answered(); p.Failed() > 2*firstPause {
+			t.Error("an answer does not end the long pauses")
 		}
 	}
-	p := NewPace(80, 1)
-	for range 20 {
-		p.Failed()
-	}
-	if p.Answered(); p.Failed() > 600*time.Millisecond {
-		t.Error("an answer does not end the long pauses")
+	for range 20 { // and none stays away longer than it may be silent
+		p := NewPace(1000, 5*time.Second, 3)
+		if a, b := p.Start(), p.Failed(); a > 5*time.Second || b > 8*time.Second {
+			t.Errorf("1,000 brokers: %v, %v", a, b)
+		}
 	}
 }
