Keep rare news of replicas, and try suspects less often, at a root among many

From 15 s on dead nodes got most of what is sent to them from the same brokers again and again, as first attempts: trials, one in 200 ms a broker.

Checked: a broker sends a node 0.5 parts a second. Its log and a model of 80 roots (now decide/fleet_test.go) show a slow node known, forgotten within 2 s and met again, and a suspect tried about once a second by each root. Ruled out: load at the nodes as the cause (mean open 3 to 8 at the slow, 1 to 4 at the others; one cell with two slow nodes of four is truly full), copies (8% of attempts) and connections (2 to 12 failed of 14,000).

At fault, all in decide/: fade (30 typical latencies, 0.6 s here) in judge, trialGap (8 of them, 0.2 s) in fault, send and place, smooth and blame, which ask for eight answers, or three, before a replica's state is known. All four assume that a root hears of each replica several times in that time, as one of two or three brokers does.

Change: the mean time between two sends of ours to a replica is reckoned. News fades over eight of them if that is longer (at most 40 aims), a suspect rests for four of them, and where they exceed the fading one outcome weighs 0.4 in latency and 0.7 in blame. At two or three brokers none of this is reached.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,8 +20,12 @@
 	pDraws   = 60   // bootstrap rounds: enough to rank six candidates, cheap
 	pEveryMs = 3000 // between looks at p: a few seconds, as the design asks
 
-	smooth = 0.12 // weight of one answer in a replica's latency: parts differ, some eight make a change
-	fade   = 30   // old news of a replica fades over this many typical latencies
+	smooth   = 0.12 // weight of one answer in a replica's latency: parts differ, some eight make a change
+	fade     = 30   // old news of a replica fades over this many typical latencies
+	fadeNews = 8    // or, where we are one root among many, over as many sends to it
+	fadeMost = 40   // shortest aims over which it does at most
+	rareMost = 0.4  // weight of one answer where they are rare: what it tells is old before eight have come
+	rareFrom = 1    // they are where this share of news has faded between two sends
 
 	zoneCare  = 20   // latency we would pay to stay in our zone, for each unit of the told price of leaving it
 	silent    = 5.0  // answers overdue by this many typical latencies make a replica suspect or slow
@@ -36,6 +40,8 @@
 	letIn     = 5    // shortest aims without news over which latencies fade to calm: few tries go in vain
 	trialPart = 10   // one part in so many, and one, may try a replica in doubt
 	trialGap  = 8.0  // typical latencies before a suspect replica is tried again
+	trialNews = 4.0  // or, where we are one root among many, so many sends to one
+	rareBlame = 0.7  // blame where answers are rare: one tells as much as will be known
 	flakyMost = 0.95 // a replica that fails parts at once may be asked first while it fails no larger share
 
 	roomAim   = 0.8  // on a pressed fleet a query of usual worth must be predicted within this share of its aim
@@ -157,6 +163,7 @@
 	lived, lost            flow      // replicas that lived on after a connection broke, or refused the next part
 	average, typical, most float64   // mean and median latency of replicas; the most sent of late
 	aim, lastNews, waryTo  float64   // shortest aim of a class; the latest answer; till when a part goes ahead
+	born, gap              float64   // first turn; between two sends of ours to one replica, as a mean
 	fleet, calm            float64   // mean level of the groups; the typical one when little waits
 	sweepAt, askAt, askGap float64
 	follows, told          bool // told: a list has come
@@ -185,7 +192,7 @@
 // anything is decided: answers that land together are all known before a part counts as still running.
 func (r *Root) Step(now float64, events []Event, out []Action) []Action {
 	r.out, r.turn = out, r.turn+1
-	r.now, r.stalled = now, 0
+	r.now, r.stalled, r.born = now, 0, cmp.Or(r.born, now)
 	if late := now - r.sweepAt; len(r.open) > 0 && late > sweepTicks*r.s.TickMs {
 		r.stalled, r.absent = late, r.absent+late // our own timer came late: this root stood still
 	}
@@ -359,10 +366,15 @@
 	if !h.heard {
 		h.heard, h.lat, h.load = true, took, a.load
 	}
-	h.lat += smooth * (took - h.lat)
-	h.load += smooth * (a.load - h.load)
+	w := max(smooth, rareMost*r.rare())
+	h.lat += w * (took - h.lat)
+	h.load += w * (a.load - h.load)
 }
 
+// rare is 1 where this root, one of many, sends a replica so little that its state has long changed before
+// the usual number of answers could tell, 0 where it sends much: then each outcome weighs more.
+func (r *Root) rare() float64 { return min(1, r.gap/(rareFrom*fade*r.average+1)) }
+
 // blend takes one part into the mean of its group, weighed by query: the slowest parts of each come last.
 func (r *Root) blend(mean *float64, took float64, a *attempt) {
 	*mean = cmp.Or(*mean, took)
@@ -403,7 +415,7 @@
 
 func (r *Root) good(h *replica) {
 	h.lastNews = r.awake()
-	h.bad *= 1 - blame
+	h.bad *= 1 - max(blame, rareBlame*r.rare())
 	h.group.bad = min(groupBad/2, h.group.bad*(1-smooth)) // all of it may be back
 	if h.suspect && (h.bad < trustAt || h.mute) {
 		h.suspect, h.mute, h.bad = false, false, min(h.bad, trustAt)
@@ -413,16 +425,19 @@
 
 // fault holds evidence of failure against a replica. An error is never news of a short latency.
 func (r *Root) fault(h *replica) {
-	h.bad += blame * (1 - h.bad)
+	h.bad += max(blame, rareBlame*r.rare()) * (1 - h.bad)
 	h.group.bad += smooth * (1 - h.group.bad)
 	if h.bad > suspectAt && !h.suspect {
 		h.suspect = true
 		text := fmt.Sprintf("replica %x suspected", uint64(h.Addr))
 		r.do(Action{Kind: Log, Addr: h.Addr, Doubt: true, Text: text})
 	}
-	h.trialAt = r.now + trialGap*r.typical
+	h.trialAt = r.now + r.trialGap()
 }
 
+// trialGap is how long a suspect replica is left alone: the more roots try it, the longer each waits.
+func (r *Root) trialGap() float64 { return max(trialGap*r.typical, trialNews*r.gap) }
+
 // judge looks at every listed replica afresh, for silence of any cause, by the fleet's median.
 func (r *Root) judge() {
 	heard, sum := 0, 0.0
@@ -442,12 +457,16 @@
 			}
 		}
 	}
+	// A root among many hears of each replica seldom: then some answers' worth of news is kept, however old.
+	span := rateSpanMs * (1 - math.Exp(-(r.now-r.born+1)/rateSpanMs))
+	r.gap = span * float64(len(r.listed)) / max(1, r.sent.value(r.now))
+	memory := max(fade*r.average+1, min(fadeNews*r.gap, fadeMost*r.aim))
 	var levels []float64
 	r.fleet = 0
 	for _, h := range r.listed {
 		fresh, old := 0.0, cmp.Or(h.group.level, r.average)
 		if h.heard {
-			fresh = math.Exp(-(r.awake() - h.lastNews) / (fade*r.average + 1))
+			fresh = math.Exp(-(r.awake() - h.lastNews) / memory)
 		}
 		h.faded, h.quiet = old+(h.lat-old)*fresh, r.silence(h)
 		h.level = max(h.faded, h.quiet)
@@ -611,7 +630,7 @@
 	p.tries = append(p.tries, a)
 	h.out = append(h.out, a)
 	a.load = float64(len(h.out))
-	h.trialAt = r.now + trialGap*r.typical
+	h.trialAt = r.now + r.trialGap()
 	h.mayTake-- // counts while it is cold
 	r.sent.add(r.now)
 	r.most = max(r.sent.count, r.most*(1-1.0/mostSends))
@@ -749,7 +768,7 @@
 			if times[i] = r.predict(h); r.doubted(h) { // a trial is tried elsewhere when overdue
 				times[i] = min(times[i], (1+overdue)*r.typical)
 				q.trials++
-				h.group.trialAt = r.now + trialGap*r.typical
+				h.group.trialAt = r.now + max(trialGap*r.typical, r.gap)
 			}
 			h.out = append(h.out, &attempt{turn: r.turn, open: true})
 			h.mayTake--
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,247 @@
+package decide
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// fleet drives many roots as data, each with a seed and a share of the queries
+// of its own, against replicas that are shared by all: what is harmless from one
+// root shows its sum here.
+type fleet struct {
+	t     *testing.T
+	now   float64
+	roots []*Root
+	queue happenings
+	order int
+	node  func(root int, a Addr) (Outcome, float64) // how an attempt that is sent now ends, and after how long
+	sends []sending
+	ends  []ending
+	open  []map[uint64][]bool // by root and part: attempts without an outcome
+	tries []map[uint64]int
+	ids   uint64
+	rng   *rand.Rand
+}
+
+type sending struct {
+	at   float64
+	root int
+	to   Addr
+	n    int // attempts of the part before
+}
+
+type ending struct {
+	at, took float64
+	root     int
+	kind     ActionKind
+	hint     float64
+}
+
+type happening struct {
+	at    float64
+	order int
+	root  int
+	event Event
+	born  float64 // of a query
+	parts int
+}
+
+type happenings []happening
+
+func (h happenings) Len() int { return len(h) }
+func (h happenings) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h happenings) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *happenings) Push(x any)   { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// large is the settings of a root among many: short aims, few queries each.
+func large(roots, cells int) Settings {
+	s := settings()
+	s.Roots, s.TickMs, s.Cells, s.Shards = roots, 1, cells, 6*cells
+	s.ColdFrom, s.ColdMs, s.FallTimes, s.FallMs = 0.18, 15000, 3, 2000
+	s.Classes[0].AimMs, s.Classes[0].DeadlineMs = 250, 1000
+	return s
+}
+
+// newFleet starts the roots with the given members on their list.
+func newFleet(t *testing.T, s Settings, members []Member) *fleet {
+	f := &fleet{t: t, now: 1e6, rng: rand.New(rand.NewPCG(1, 2))}
+	for i := range s.Roots {
+		s.Index = i
+		f.roots = append(f.roots, New(s, uint64(i+1)))
+		f.open = append(f.open, map[uint64][]bool{})
+		f.tries = append(f.tries, map[uint64]int{})
+		f.push(happening{at: f.now, root: i, event: Event{Kind: ListNews, List: ListCached, Members: members}})
+	}
+	return f
+}
+
+func (f *fleet) push(h happening) {
+	f.order++
+	h.order = f.order
+	heap.Push(&f.queue, h)
+}
+
+// load lets queries of k parts come for ms, each root's so many a second.
+func (f *fleet) load(perS float64, k int, ms float64) {
+	shards := f.roots[0].s.Shards
+	for i := range f.roots {
+		for at := f.now + f.rng.ExpFloat64()*1000/perS; at < f.now+ms; at += f.rng.ExpFloat64() * 1000 / perS {
+			f.ids++
+			c := f.roots[i].s.Classes[0]
+			e := Event{Kind: QueryCame, ID: f.ids, LeftMs: c.DeadlineMs, Number: float64(f.ids), Parts: k}
+			f.push(happening{at: at, root: i, event: e})
+			for j, shard := range f.rng.Perm(shards)[:k] {
+				f.ids++
+				f.push(happening{at: at, root: i, event: Event{Kind: PartCame, ID: f.ids, LeftMs: c.DeadlineMs,
+					Number: e.Number, Shard: shard, Weight: 1 / float64(k), Token: uint64(j)}})
+			}
+		}
+	}
+	f.run(f.now + ms)
+}
+
+// run plays all that happens until then.
+func (f *fleet) run(until float64) {
+	began := map[uint64]float64{}
+	for len(f.queue) > 0 && f.queue[0].at < until {
+		f.now = f.queue[0].at
+		root, events := f.queue[0].root, []Event(nil)
+		for len(f.queue) > 0 && f.queue[0].at == f.now && f.queue[0].root == root {
+			e := heap.Pop(&f.queue).(happening).event
+			if e.Kind == QueryCame {
+				began[e.ID] = f.now
+			}
+			if e.Kind == AttemptDone {
+				if !f.open[root][e.ID][e.Attempt] {
+					continue // it was cancelled before
+				}
+				f.open[root][e.ID][e.Attempt] = false
+			}
+			events = append(events, e)
+		}
+		if len(events) == 0 {
+			continue
+		}
+		for _, a := range f.roots[root].Step(f.now, events, nil) {
+			f.do(root, a, began)
+		}
+	}
+	f.now = until
+}
+
+func (f *fleet) do(root int, a Action, began map[uint64]float64) {
+	switch a.Kind {
+	case Send:
+		n := len(f.open[root][a.ID])
+		f.open[root][a.ID] = append(f.open[root][a.ID], true)
+		f.sends = append(f.sends, sending{f.now, root, a.Addr, n})
+		o, after := f.node(root, a.Addr)
+		if after > a.Ms {
+			o, after = TimedOut, a.Ms
+		}
+		f.push(happening{at: f.now + after, root: root, event: Event{Kind: AttemptDone, ID: a.ID, Attempt: n, Addr: a.Addr, Outcome: o, TookMs: after}})
+	case Cancel:
+		f.push(happening{at: f.now, root: root, event: Event{Kind: AttemptDone, ID: a.ID, Attempt: a.Attempt, Outcome: Cancelled}})
+	case Timer:
+		f.push(happening{at: f.now + a.Ms, root: root, event: Event{Kind: TimerFired, Token: a.Token}})
+	case Answer, Refuse, Abort:
+		f.ends = append(f.ends, ending{f.now, f.now - began[a.ID], root, a.Kind, a.Ms})
+	}
+}
+
+// members are n replicas in so many cells, all long warm.
+func members(n, cells int) (all []Member) {
+	for i := range n {
+		all = append(all, Member{Addr: Addr(i + 1), Cell: i % cells, Zone: i / cells % 2, State: Ready})
+	}
+	return all
+}
+
+// sentTo counts what went to some replicas since a time.
+func (f *fleet) sentTo(since float64, which func(Addr) bool) (n int) {
+	for _, s := range f.sends {
+		if s.at >= since && which(s.to) {
+			n++
+		}
+	}
+	return n
+}
+
+// late counts the queries that ended since a time and those not answered within the aim.
+func (f *fleet) late(since float64) (late, all int) {
+	for _, e := range f.ends {
+		if e.at < since {
+			continue
+		}
+		if all++; e.kind != Answer || e.took > f.roots[e.root].s.Classes[0].AimMs {
+			late++
+		}
+	}
+	return late, all
+}
+
+// Of eighty roots each hears of a replica every second or two. If a slow one is
+// forgotten in between, or must be met eight times to be known, each root goes on
+// meeting it for as long as it is slow, and of its dozen parts one is always there.
+func TestRareNewsOfASlowReplicaIsKept(t *testing.T) {
+	for _, c := range []struct {
+		roots int
+		perS  float64
+	}{{80, 3.5}, {3, 93}} {
+		f := newFleet(t, large(c.roots, 15), members(60, 15))
+		slow := func(a Addr) bool { return a%8 == 3 } // eight of sixty
+		from := f.now + 4000
+		f.node = func(_ int, a Addr) (Outcome, float64) {
+			ms := 20 * (0.6 + 0.8*f.rng.Float64())
+			if slow(a) && f.now > from {
+				ms *= 7
+			}
+			return OK, ms
+		}
+		f.load(c.perS, 12, 4000)
+		f.load(c.perS, 12, 4000)
+		since := f.now
+		f.load(c.perS, 12, 8000)
+		share := float64(f.sentTo(since, slow)) / float64(f.sentTo(since, func(Addr) bool { return true }))
+		if share > 0.03 {
+			t.Errorf("%d roots: %.3f of what is sent goes to slow replicas, 0.13 by chance", c.roots, share)
+		}
+		if late, all := f.late(since); late > all/20 {
+			t.Errorf("%d roots: %d of %d queries late", c.roots, late, all)
+		}
+	}
+}
+
+// keep the helpers honest: every attempt gets one outcome and every query one end.
+func TestFleetPlaysItsRoots(t *testing.T) {
+	f := newFleet(t, large(5, 3), members(12, 3))
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 10 }
+	f.load(20, 6, 2000)
+	f.run(f.now + 3000)
+	queries := 0
+	for _, e := range f.ends {
+		if e.kind == Answer {
+			queries++
+		}
+	}
+	if queries < 150 || queries != len(f.ends) {
+		t.Errorf("%d answers, %d ends", queries, len(f.ends))
+	}
+	for i := range f.open {
+		for id, tries := range f.open[i] {
+			if slices.Contains(tries, true) {
+				t.Errorf("root %d: part %d without an outcome", i, id)
+			}
+		}
+	}
+}
