Let each root choose at random among replicas that none of its parts has reached

Checked: Root.score is level times calls; before the first answer the mean of all levels is 0, so all replicas score 0, the random factor among equals too, and pick keeps the first of the list, whose order is the same at every broker. Ruled out: connections (19 handshakes a node more or less), the list, slow nodes (another node a cell had that).

Change: a level counts as a thousandth of a millisecond at least, so that calls and the random factor decide. The test counts the first parts of 80 roots by cell; without the change 76 of 94 go to one of four replicas.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -562,7 +562,7 @@
 }
 
 func (r *Root) score(h *replica) float64 {
-	score := h.level * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals
+	score := max(h.level, 1e-3) * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals, unheard ones too
 	if h.Zone != r.s.Zone {
 		score *= 1 + zoneCare*r.s.PriceCross
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -245,3 +245,25 @@
 		}
 	}
 }
+
+// No root has heard of any replica when the day begins, or after a release of
+// all of them. If each took the first of the list then, one in four replicas would
+// get the work of its whole cell.
+func TestUnheardReplicasShareTheFirstQueries(t *testing.T) {
+	f := newFleet(t, large(80, 15), members(60, 15))
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 100 }
+	f.load(3.5, 12, 400)
+	cell := map[int]int{}
+	most := map[int]int{}
+	for a := Addr(1); a <= 60; a++ {
+		n := f.sentTo(0, func(b Addr) bool { return a == b })
+		c := int(a-1) % 15
+		cell[c] += n
+		most[c] = max(most[c], n)
+	}
+	for c, n := range cell {
+		if n < 40 || most[c] > n*45/100 {
+			t.Errorf("cell %d: %d of %d first parts went to one of its four replicas", c, most[c], n)
+		}
+	}
+}
