Hold parts for full replicas, give up what no live one holds, forget queues in time

And a cell whose one sound node had been full served 36 to 100 parts a second, with 10 open at the most, long after its queue was gone: brokers refused by a latency of seconds ago.

Checked: sequences of outcomes by part; the node's sends, answers and open parts in steps of 0.1 s; which brokers are turned away (the same that are served before and after, so it is the queue, not the table of connections).

At fault, in decide/: pick gave all doubted replicas one rank, so that those known dead, of short latency, came before a full one; retry sent at once whatever remained; place took a query in though no holder of a part was likely to answer; and judge let predictions fade as slowly as the choice of a replica since the last change.

Change: a replica that refused the last connection comes last, and a query whose part has only such ones is refused at once with a time to come back, unless a trial is due. A full one is spared for two to six typical latencies; a part waits for it, its last attempt in any case. A part whose holders all fail most of what they get is refused.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,9 @@
 	trialPart = 10   // one part in so many, and one, may try a replica in doubt
 	trialGap  = 8.0  // typical latencies before a suspect replica is tried again
 	trialNews = 4.0  // or, where we are one root among many, so many sends to one
+	fullRest  = 4.0  // typical latencies, half of them to one and a half times, that a full replica is spared
 	rareBlame = 0.7  // blame where answers are rare: one tells as much as will be known
+	failsMost = 0.5  // one that fails a larger share answers no query of several parts
 	flakyMost = 0.95 // a replica that fails parts at once may be asked first while it fails no larger share
 
 	roomAim   = 0.8  // on a pressed fleet a query of usual worth must be predicted within this share of its aim
@@ -105,13 +107,15 @@
 	heard, suspect    bool
 	lat, load         float64 // smoothed latency, and parts out at the sends that it speaks of
 	quiet             float64 // how long it has answered nothing, with work of ours
-	faded, level      float64 // this turn's latency: with old news faded; with what its silence proves
+	faded, soon       float64 // this turn's latency with old news faded, for the choice and for predictions
+	level             float64 // the former with what its silence proves
 	out               []*attempt
 	lastNews          float64
+	fullTill          float64   // it turned a part away; sooner the next would be as well
 	mayTake, filledAt float64   // parts that we may send while it is cold, and when that was reckoned
 	bad               float64   // evidence of failure, 0 to 1
 	shunned           []float64 // by class: till when, as it lost a part while it answered others
-	mute              bool      // suspect for its silence, which any answer ends
+	mute, down        bool      // suspect for its silence, which any answer ends; refused the last connection
 	brokeAt           float64   // when a connection broke, till the next answer or refusal tells why
 	fails, failMs     float64   // smoothed share of attempts that fail, and how soon they do
 	trialAt           float64   // when a suspect gets its next trial
@@ -298,6 +302,9 @@
 	a.open = false
 	a.unrun = e.Outcome == Rejected || e.Outcome == Unreachable || e.Outcome == NotSent
 	h, c, age := a.at, &r.classes[p.q.class], r.awake()-a.woke
+	if e.Outcome <= Rejected {
+		h.down = false
+	}
 	switch e.Outcome {
 	case OK:
 		if r.stalled == 0 { // else it came at some time of our absence
@@ -345,10 +352,11 @@
 		if h.brokeAt > 0 {
 			r.lost.add(r.now)
 		}
-		h.brokeAt = 0
+		h.brokeAt, h.down = 0, true
 		r.fault(h)
 	case Rejected:
 		r.fault(h)
+		h.fullTill = r.now + (0.5+r.rng.Float64())*fullRest*r.typical
 	}
 	if a.until <= r.now {
 		h.out = slices.DeleteFunc(h.out, func(b *attempt) bool { return b == a })
@@ -464,11 +472,13 @@
 	var levels []float64
 	r.fleet = 0
 	for _, h := range r.listed {
-		fresh, old := 0.0, cmp.Or(h.group.level, r.average)
+		fresh, old, soon := 0.0, cmp.Or(h.group.level, r.average), 0.0
 		if h.heard {
-			fresh = math.Exp(-(r.awake() - h.lastNews) / memory)
+			age := r.awake() - h.lastNews
+			fresh, soon = math.Exp(-age/memory), math.Exp(-age/(fade*r.average+1))
 		}
 		h.faded, h.quiet = old+(h.lat-old)*fresh, r.silence(h)
+		h.soon = old + (h.lat-old)*soon
 		h.level = max(h.faded, h.quiet)
 		r.fleet += old / float64(len(r.listed))
 		if h.State == Ready && h.heard && !h.suspect {
@@ -522,9 +532,10 @@
 	return n
 }
 
-// predict estimates the latency of one more part at a replica: the faded one, by our parts there.
+// predict estimates the latency of one more part at a replica, by our parts there. What is refused for a long
+// queue brings no news of its end, so here old news fades within the time that queues take.
 func (r *Root) predict(h *replica) float64 {
-	return max(h.quiet, h.faded*float64(len(h.out)+1)/max(1, h.load))
+	return max(h.quiet, h.soon*float64(len(h.out)+1)/max(1, h.load))
 }
 
 // ---- The pick
@@ -541,6 +552,10 @@
 		}
 		rank := 1
 		switch {
+		case h.down && h.suspect && !(first && r.trial(h, p.q)):
+			rank = 6
+		case r.now < h.fullTill:
+			rank = 5
 		case tried:
 			rank = 4
 		case r.doubted(h) && first && r.trial(h, p.q) && r.mayCopy(p):
@@ -590,6 +605,11 @@
 // from seldom, that all across a way are cut off need not be found out one by one.
 func (r *Root) doubted(h *replica) bool { return h.suspect || h.group.bad > groupBad }
 
+// hopeful says that h is likely to answer: it neither refuses connections nor fails most parts.
+func (r *Root) hopeful(h *replica) bool {
+	return !h.suspect || !h.down && h.fails <= failsMost
+}
+
 // trial says whether a replica in doubt is due for a real part: a few in a query, as each costs a further
 // attempt, and one where all of its kind are in doubt.
 func (r *Root) trial(h *replica, q *query) bool {
@@ -693,15 +713,25 @@
 			return
 		}
 		n, _ := p.running()
-		if p.got || n > 0 || len(p.tries) > 0 && (!r.mayRepeat(p) || !r.cheap(p) && !r.budget(1)) {
+		if p.got || n > 0 || len(p.tries) > 0 && (!r.mayRepeat(p) || r.rests(p) || !r.cheap(p) && !r.budget(1)) {
 			continue
 		}
-		if h := r.pick(p, false); h != nil {
+		switch h := r.pick(p, false); {
+		case h == nil || r.now < h.fullTill: // cold, or full for now: the part can wait
+		case h.down && h.suspect: // and so are all others
+			r.refuse(q, max(r.typical, h.trialAt-r.now))
+		default:
 			r.send(p, h)
 		}
 	}
 }
 
+// rests says that p's last attempt is better kept until the replica that turned p away may have room again:
+// where one holder is full the others often are, and three attempts would be spent within milliseconds.
+func (r *Root) rests(p *part) bool {
+	return len(p.tries) == r.s.MaxAttempts-1 && r.now < p.tries[len(p.tries)-1].at.fullTill
+}
+
 // dubious says that q may be what kills replicas: some died under its parts, or lately under others, or it is
 // a retry, and none of it has answered. Until one has, parts leave one by one; if deadly, it ends. It guards
 // against any query that brings down what works on it; in a plain crash, sound ones wait for one answer.
@@ -765,7 +795,9 @@
 	for i, p := range q.parts {
 		times[i], p.first = math.Inf(1), r.pick(p, true)
 		if h := p.first; h != nil {
-			if times[i] = r.predict(h); r.doubted(h) { // a trial is tried elsewhere when overdue
+			if times[i] = r.predict(h) + max(0, h.fullTill-r.now); !r.hopeful(h) && !r.trial(h, q) && !slices.ContainsFunc(r.holders(p), r.hopeful) {
+				times[i] = math.Inf(1) // none that holds the shard is likely to answer
+			} else if r.doubted(h) { // a trial is tried elsewhere when overdue
 				times[i] = min(times[i], (1+overdue)*r.typical)
 				q.trials++
 				h.group.trialAt = r.now + max(trialGap*r.typical, r.gap)
@@ -829,8 +861,8 @@
 	}
 	q.left = int(c.p*k + r.rng.Float64())
 	for _, p := range q.parts {
-		if p.first != nil && (p == q.parts[0] || !q.dubious()) {
-			r.send(p, p.first)
+		if h := p.first; h != nil && r.now >= h.fullTill && (p == q.parts[0] || !q.dubious()) {
+			r.send(p, h)
 		}
 	}
 }
@@ -1049,7 +1081,7 @@
 				h.since = r.now // new to the list: cold until it can't be
 			}
 		} else if m.ReadyAt > h.ReadyAt || h.State == Gone && m.State == Ready {
-			h.since, h.heard, h.bad, h.suspect, h.lastNews = r.now, false, 0, false, r.awake()
+			h.since, h.heard, h.bad, h.suspect, h.down, h.lastNews = r.now, false, 0, false, false, r.awake()
 		}
 		if m.ReadyAt > 0 {
 			h.since = m.ReadyAt
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -20,8 +20,8 @@
 	sends []sending
 	ends  []ending
 	open  []map[uint64][]bool // by root and part: attempts without an outcome
-	tries []map[uint64]int
 	ids   uint64
+	began map[uint64]float64 // when each query came
 	rng   *rand.Rand
 }
 
@@ -44,8 +44,6 @@
 	order int
 	root  int
 	event Event
-	born  float64 // of a query
-	parts int
 }
 
 type happenings []happening
@@ -74,12 +72,11 @@
 
 // newFleet starts the roots with the given members on their list.
 func newFleet(t *testing.T, s Settings, members []Member) *fleet {
-	f := &fleet{t: t, now: 1e6, rng: rand.New(rand.NewPCG(1, 2))}
+	f := &fleet{t: t, now: 1e6, began: map[uint64]float64{}, rng: rand.New(rand.NewPCG(1, 2))}
 	for i := range s.Roots {
 		s.Index = i
 		f.roots = append(f.roots, New(s, uint64(i+1)))
 		f.open = append(f.open, map[uint64][]bool{})
-		f.tries = append(f.tries, map[uint64]int{})
 		f.push(happening{at: f.now, root: i, event: Event{Kind: ListNews, List: ListCached, Members: members}})
 	}
 	return f
@@ -112,14 +109,13 @@
 
 // run plays all that happens until then.
 func (f *fleet) run(until float64) {
-	began := map[uint64]float64{}
 	for len(f.queue) > 0 && f.queue[0].at < until {
 		f.now = f.queue[0].at
 		root, events := f.queue[0].root, []Event(nil)
 		for len(f.queue) > 0 && f.queue[0].at == f.now && f.queue[0].root == root {
 			e := heap.Pop(&f.queue).(happening).event
 			if e.Kind == QueryCame {
-				began[e.ID] = f.now
+				f.began[e.ID] = f.now
 			}
 			if e.Kind == AttemptDone {
 				if !f.open[root][e.ID][e.Attempt] {
@@ -133,13 +129,13 @@
 			continue
 		}
 		for _, a := range f.roots[root].Step(f.now, events, nil) {
-			f.do(root, a, began)
+			f.do(root, a)
 		}
 	}
 	f.now = until
 }
 
-func (f *fleet) do(root int, a Action, began map[uint64]float64) {
+func (f *fleet) do(root int, a Action) {
 	switch a.Kind {
 	case Send:
 		n := len(f.open[root][a.ID])
@@ -155,7 +151,7 @@
 	case Timer:
 		f.push(happening{at: f.now + a.Ms, root: root, event: Event{Kind: TimerFired, Token: a.Token}})
 	case Answer, Refuse, Abort:
-		f.ends = append(f.ends, ending{f.now, f.now - began[a.ID], root, a.Kind, a.Ms})
+		f.ends = append(f.ends, ending{f.now, f.now - f.began[a.ID], root, a.Kind, a.Ms})
 	}
 }
 
@@ -267,3 +263,65 @@
 		}
 	}
 }
+
+// A replica that turns parts away for being full is not dead: a part with no
+// other holder left waits for it within its query's time, instead of spending
+// its three attempts within some milliseconds.
+func TestPartsWaitForFullReplicas(t *testing.T) {
+	f := newFleet(t, large(80, 15), members(60, 15))
+	cell := func(a Addr) int { return int(a-1) % 15 }
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 15 + 10*f.rng.Float64() }
+	f.load(3.5, 12, 4000)
+	from := f.now
+	f.node = func(_ int, a Addr) (Outcome, float64) {
+		if in := int(f.now-from) % 400; cell(a) == 4 && in < 100 { // a quarter of the time, all four of them
+			return Rejected, 1
+		}
+		return OK, 15 + 10*f.rng.Float64()
+	}
+	f.load(3.5, 12, 6000)
+	f.run(f.now + 1500)
+	late, all := f.late(from)
+	refused := 0
+	for _, e := range f.ends {
+		if e.at >= from && e.kind != Answer {
+			refused++
+		}
+	}
+	if refused > all/25 || late > all/20 {
+		t.Errorf("%d of %d queries late, %d of them refused", late, all, refused)
+	}
+}
+
+// Where every holder of a shard refuses connections, nothing is to be waited
+// for: a query that needs it ends at once with a time to come back, and none of
+// its other parts is sent once that is known. A few trials tell when one is back.
+func TestQueriesWithoutALiveReplicaEndAtOnce(t *testing.T) {
+	f := newFleet(t, large(80, 15), members(60, 15))
+	dead := func(a Addr) bool { return int(a-1)%15 == 4 }
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 15 + 10*f.rng.Float64() }
+	f.load(3.5, 12, 4000)
+	f.node = func(_ int, a Addr) (Outcome, float64) {
+		if dead(a) {
+			return Unreachable, 1
+		}
+		return OK, 15 + 10*f.rng.Float64()
+	}
+	f.load(3.5, 12, 4000)
+	from := f.now
+	f.load(3.5, 12, 8000)
+	f.run(f.now + 1500)
+	refused := 0
+	for _, e := range f.ends {
+		if e.at < from || e.kind == Answer {
+			continue
+		}
+		if refused++; e.took > 150 || e.hint <= 0 {
+			t.Fatalf("refused after %.0f ms with a hint of %.0f ms", e.took, e.hint)
+		}
+	}
+	tried, all := f.sentTo(from, dead), f.sentTo(from, func(Addr) bool { return true })
+	if refused < 500 || tried > 4*80*8/2 {
+		t.Errorf("%d queries refused, %d of %d parts sent to dead replicas", refused, tried, all)
+	}
+}
