--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,6 @@
 	trialNews = 4.0  // or, where we are one root among many, so many sends to one
 	fullRest  = 4.0  // typical latencies, half of them to one and a half times, that a full replica is spared
 	rareBlame = 0.7  // blame where answers are rare: one tells as much as will be known
-	failsMost = 0.5  // one that fails a larger share answers no query of several parts
 	flakyMost = 0.95 // a replica that fails parts at once may be asked first while it fails no larger share
 
 	roomAim   = 0.8  // on a pressed fleet a query of usual worth must be predicted within this share of its aim
@@ -102,23 +101,22 @@
 
 type replica struct {
 	Member
-	group             *group
-	since             float64 // start of its life as we judge it; -Inf: long past
-	heard, suspect    bool
-	lat, load         float64 // smoothed latency, and parts out at the sends that it speaks of
-	quiet             float64 // how long it has answered nothing, with work of ours
-	faded, soon       float64 // this turn's latency with old news faded, for the choice and for predictions
-	level             float64 // the former with what its silence proves
-	out               []*attempt
-	lastNews          float64
-	fullTill          float64   // it turned a part away; sooner the next would be as well
-	mayTake, filledAt float64   // parts that we may send while it is cold, and when that was reckoned
-	bad               float64   // evidence of failure, 0 to 1
-	shunned           []float64 // by class: till when, as it lost a part while it answered others
-	mute, down        bool      // suspect for its silence, which any answer ends; refused the last connection
-	brokeAt           float64   // when a connection broke, till the next answer or refusal tells why
-	fails, failMs     float64   // smoothed share of attempts that fail, and how soon they do
-	trialAt           float64   // when a suspect gets its next trial
+	group              *group
+	since              float64 // start of its life as we judge it; -Inf: long past
+	heard, suspect     bool
+	lat, load          float64 // smoothed latency, and parts out at the sends that it speaks of
+	quiet              float64 // how long it has answered nothing, with work of ours
+	faded, soon, level float64 // its latency, old news faded: for the choice, predictions, with its silence
+	out                []*attempt
+	lastNews           float64
+	fullTill           float64   // it turned a part away; sooner the next would be as well
+	mayTake, filledAt  float64   // parts that we may send while it is cold, and when that was reckoned
+	bad                float64   // evidence of failure, 0 to 1
+	shunned            []float64 // by class: till when, as it lost a part while it answered others
+	mute, down         bool      // suspect for its silence, which any answer ends; refused the last connection
+	brokeAt            float64   // when a connection broke, till the next answer or refusal tells why
+	fails, failMs      float64   // smoothed share of attempts that fail, and how soon they do
+	trialAt            float64   // when a suspect gets its next trial
 }
 
 type class struct {
@@ -130,8 +128,7 @@
 	mean, fetch            float64   // smoothed time of a part and of a second step
 }
 
-// group is the replicas of one zone and kind: a root among many hears from each one seldom, but a slow way
-// between zones or a slow kind of machine shows at all of them together.
+// group is the replicas of one zone and kind: a slow way or kind of machine shows at all of them together.
 type group struct {
 	lat, level   float64 // smoothed latency; this turn's, with what open attempts prove
 	bad, trialAt float64 // smoothed share of attempts that got no answer; when it gets its next trial
@@ -236,8 +233,6 @@
 // awake is the time without this root's own absences, in which no replica can be blamed for what waited.
 func (r *Root) awake() float64 { return r.now - r.absent }
 
-// ---- What events teach
-
 func (r *Root) apply(e *Event) {
 	switch e.Kind {
 	case QueryCame:
@@ -302,9 +297,7 @@
 	a.open = false
 	a.unrun = e.Outcome == Rejected || e.Outcome == Unreachable || e.Outcome == NotSent
 	h, c, age := a.at, &r.classes[p.q.class], r.awake()-a.woke
-	if e.Outcome <= Rejected {
-		h.down = false
-	}
+	h.down = h.down && e.Outcome > Rejected
 	switch e.Outcome {
 	case OK:
 		if r.stalled == 0 { // else it came at some time of our absence
@@ -379,8 +372,7 @@
 	h.load += w * (a.load - h.load)
 }
 
-// rare is 1 where this root, one of many, sends a replica so little that its state has long changed before
-// the usual number of answers could tell, 0 where it sends much: then each outcome weighs more.
+// rare is 1 where news of a replica fades between two sends of ours, so that each outcome must weigh more.
 func (r *Root) rare() float64 { return min(1, r.gap/(rareFrom*fade*r.average+1)) }
 
 // blend takes one part into the mean of its group, weighed by query: the slowest parts of each come last.
@@ -391,8 +383,7 @@
 
 func (r *Root) cold(h *replica) bool { return r.now-h.since < r.s.ColdMs }
 
-// late notes an attempt without an answer: its work may go on. If called off, its age is the least that its
-// latency can have been; a time-out may be a lost call and teaches none.
+// late notes an attempt whose work may go on: called off, it took its age at least; a time-out teaches none.
 func (r *Root) late(a *attempt) {
 	if age := r.awake() - a.woke; age > a.at.lat && a.off {
 		r.learn(a, age)
@@ -419,8 +410,6 @@
 	}
 }
 
-// ---- Health: one estimate a replica, from evidence of any kind
-
 func (r *Root) good(h *replica) {
 	h.lastNews = r.awake()
 	h.bad *= 1 - max(blame, rareBlame*r.rare())
@@ -437,8 +426,7 @@
 	h.group.bad += smooth * (1 - h.group.bad)
 	if h.bad > suspectAt && !h.suspect {
 		h.suspect = true
-		text := fmt.Sprintf("replica %x suspected", uint64(h.Addr))
-		r.do(Action{Kind: Log, Addr: h.Addr, Doubt: true, Text: text})
+		r.do(Action{Kind: Log, Addr: h.Addr, Doubt: true, Text: fmt.Sprintf("replica %x suspected", h.Addr)})
 	}
 	h.trialAt = r.now + r.trialGap()
 }
@@ -478,8 +466,7 @@
 			fresh, soon = math.Exp(-age/memory), math.Exp(-age/(fade*r.average+1))
 		}
 		h.faded, h.quiet = old+(h.lat-old)*fresh, r.silence(h)
-		h.soon = old + (h.lat-old)*soon
-		h.level = max(h.faded, h.quiet)
+		h.soon, h.level = old+(h.lat-old)*soon, max(h.faded, h.quiet)
 		r.fleet += old / float64(len(r.listed))
 		if h.State == Ready && h.heard && !h.suspect {
 			levels = append(levels, max(r.average+(h.lat-r.average)*fresh, h.quiet))
@@ -507,8 +494,7 @@
 // usual is what a replica's latency is judged by: longer where its zone and kind are, as over a slow link.
 func (r *Root) usual(h *replica) float64 { return r.typical * max(1, h.group.level/max(1, r.fleet)) }
 
-// silence is how long a replica with work has answered nothing. A part none of whose siblings has
-// answered proves nothing: the query itself may be heavy.
+// silence is how long a replica answers nothing. A part without an answered sibling may just be heavy.
 func (r *Root) silence(h *replica) float64 {
 	for _, a := range h.out {
 		if q := a.p.q; a.open && !a.off && (q.answered > 0 || len(q.parts) < 2) {
@@ -532,14 +518,11 @@
 	return n
 }
 
-// predict estimates the latency of one more part at a replica, by our parts there. What is refused for a long
-// queue brings no news of its end, so here old news fades within the time that queues take.
+// predict estimates one more part's latency. Refusals bring no news: it fades as fast as queues drain.
 func (r *Root) predict(h *replica) float64 {
 	return max(h.quiet, h.soon*float64(len(h.out)+1)/max(1, h.load))
 }
 
-// ---- The pick
-
 // pick chooses the holder with the least latency times (own calls out + 1). Replicas where p is running are
 // avoided; suspect ones and those where p failed come last, but one due for a trial gets one real part.
 func (r *Root) pick(p *part, first bool) *replica {
@@ -552,7 +535,7 @@
 		}
 		rank := 1
 		switch {
-		case h.down && h.suspect && !(first && r.trial(h, p.q)):
+		case h.dead() && !(first && r.trial(h, p.q)):
 			rank = 6
 		case r.now < h.fullTill:
 			rank = 5
@@ -577,7 +560,7 @@
 }
 
 func (r *Root) score(h *replica) float64 {
-	score := max(h.level, 1e-3) * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals, unheard ones too
+	score := max(h.level, 1e-3) * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals
 	if h.Zone != r.s.Zone {
 		score *= 1 + zoneCare*r.s.PriceCross
 	}
@@ -601,17 +584,14 @@
 	return best
 }
 
-// doubted says that h is suspect, or that next to nothing of its zone and kind answers: where each is heard
-// from seldom, that all across a way are cut off need not be found out one by one.
+// doubted says that h is suspect, or that next to nothing of its zone and kind answers, which no root among
+// many should find out one by one.
 func (r *Root) doubted(h *replica) bool { return h.suspect || h.group.bad > groupBad }
 
-// hopeful says that h is likely to answer: it neither refuses connections nor fails most parts.
-func (r *Root) hopeful(h *replica) bool {
-	return !h.suspect || !h.down && h.fails <= failsMost
-}
+// dead says that h refused the last connection, and that this was no single mishap.
+func (h *replica) dead() bool { return h.down && h.suspect }
 
-// trial says whether a replica in doubt is due for a real part: a few in a query, as each costs a further
-// attempt, and one where all of its kind are in doubt.
+// trial says whether one in doubt is due for a real part: few in a query, and one where all its kind are.
 func (r *Root) trial(h *replica, q *query) bool {
 	few := q.trials <= len(q.parts)/trialPart && (h.group.bad <= groupBad || r.now >= h.group.trialAt)
 	return few && r.now >= h.trialAt && len(h.out) == 0
@@ -629,8 +609,8 @@
 	warm := r.s.ColdFrom + (1-r.s.ColdFrom)*max(0, r.now-h.since)/r.s.ColdMs
 	// What is sent falls as more is refused, so the most sent of late counts, and half of what comes.
 	came := r.came.value(r.now)
-	usual := max(min(came, r.most), came/2) / rateSpanMs / float64(max(1, len(r.listed)))
-	allowed := coldShare * r.s.FallTimes * warm * usual
+	came = max(min(came, r.most), came/2) / rateSpanMs / float64(max(1, len(r.listed)))
+	allowed := coldShare * r.s.FallTimes * warm * came
 	if h.filledAt < h.since {
 		h.filledAt, h.mayTake = h.since, r.rng.Float64()
 	}
@@ -639,8 +619,6 @@
 	return h.mayTake >= 1
 }
 
-// ---- Sending
-
 // send opens an attempt of p at h. It times out when an answer would earn nothing more.
 func (r *Root) send(p *part, h *replica) {
 	a := &attempt{p: p, at: h, sent: r.now, woke: r.awake(), turn: r.turn, open: true}
@@ -658,18 +636,19 @@
 	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: ms, Doubt: r.doubted(h)})
 }
 
-// cheap says that p's last attempt failed at once: it cost next to nothing, so the next one is no extra work,
-// unless the told budget counts it.
+// cheap says that p's last attempt failed at once: the next is no extra work, unless a budget counts it.
 func (r *Root) cheap(p *part) bool { return !r.s.HasBudget && p.tries[len(p.tries)-1].quick }
 
 // callOff cancels what is still out of a part. A first send counts as its age, for Algorithm 1 too.
 func (r *Root) callOff(p *part) {
 	for i, a := range p.tries {
-		if a.open && !a.off && i == 0 {
+		if !a.open || a.off {
+			continue
+		}
+		if i == 0 {
 			r.classes[p.q.class].sample(r.awake() - a.woke)
 		}
-		if a.open && !a.off && r.s.MayCancel {
-			a.off = true
+		if a.off = r.s.MayCancel; a.off {
 			r.late(a)
 			r.do(Action{Kind: Cancel, ID: p.id, Attempt: i})
 		}
@@ -718,7 +697,7 @@
 		}
 		switch h := r.pick(p, false); {
 		case h == nil || r.now < h.fullTill: // cold, or full for now: the part can wait
-		case h.down && h.suspect: // and so are all others
+		case h.dead(): // and so are all others
 			r.refuse(q, max(r.typical, h.trialAt-r.now))
 		default:
 			r.send(p, h)
@@ -726,8 +705,7 @@
 	}
 }
 
-// rests says that p's last attempt is better kept until the replica that turned p away may have room again:
-// where one holder is full the others often are, and three attempts would be spent within milliseconds.
+// rests keeps p's last attempt till there may be room: where one holder is full, the others often are too.
 func (r *Root) rests(p *part) bool {
 	return len(p.tries) == r.s.MaxAttempts-1 && r.now < p.tries[len(p.tries)-1].at.fullTill
 }
@@ -742,8 +720,6 @@
 
 func (q *query) idle() bool { return q.ended || q.between }
 
-// ---- Copies and rescues
-
 // copies gives each part still running, once all but q.left have answered, the design's one copy, where that
 // joins no load of ours and should take less than the original has. Parts at a replica silent, failing, slow
 // or delisted do not wait for that, as more may hang there, nor one lost while half of its siblings answered.
@@ -773,8 +749,6 @@
 	}
 }
 
-// ---- Admission
-
 // overShare counts a query against its tenant's allowance at this root.
 func (r *Root) overShare(t int) bool {
 	if uint(t) >= uint(len(r.tenants)) || r.s.Tenants[t].PerS <= 0 {
@@ -788,15 +762,14 @@
 	return false
 }
 
-// place picks a replica for each part, siblings weighing on each other, and returns how long the query is
-// predicted to take, until its last needed part is in.
+// place picks a replica for each part, siblings weighing on each other, and predicts when the last is in.
 func (r *Root) place(q *query) float64 {
 	c, times := &r.classes[q.class], make([]float64, len(q.parts))
 	for i, p := range q.parts {
 		times[i], p.first = math.Inf(1), r.pick(p, true)
 		if h := p.first; h != nil {
-			if times[i] = r.predict(h) + max(0, h.fullTill-r.now); !r.hopeful(h) && !r.trial(h, q) && !slices.ContainsFunc(r.holders(p), r.hopeful) {
-				times[i] = math.Inf(1) // none that holds the shard is likely to answer
+			if times[i] = r.predict(h) + max(0, h.fullTill-r.now); h.dead() && !r.trial(h, q) {
+				times[i] = math.Inf(1) // and so are all others that hold the shard
 			} else if r.doubted(h) { // a trial is tried elsewhere when overdue
 				times[i] = min(times[i], (1+overdue)*r.typical)
 				q.trials++
@@ -867,8 +840,6 @@
 	}
 }
 
-// ---- Replies
-
 // settle answers a query whose weight is in; out of time or hope it ends one, with a part where allowed.
 func (r *Root) settle(q *query) {
 	c := &r.classes[q.class]
@@ -948,9 +919,8 @@
 
 // let says that q was let down by a replica now in doubt: its time tells nothing of those that avoid it.
 func (q *query) let() bool {
-	return slices.ContainsFunc(q.parts, func(p *part) bool {
-		return slices.ContainsFunc(p.tries, func(a *attempt) bool { return a.at.suspect })
-	})
+	in := func(a *attempt) bool { return a.at.suspect }
+	return slices.ContainsFunc(q.parts, func(p *part) bool { return slices.ContainsFunc(p.tries, in) })
 }
 
 // ended learns from a query that was taken in how its time compares with the predicted.
@@ -975,8 +945,6 @@
 	q.parts = q.parts[:0:0]
 }
 
-// ---- The share p, by rule (19) over an online Algorithm 1
-
 // chooseP takes the candidate of least estimated latency whose busy time stays within 1 + mu of no copies.
 func (r *Root) chooseP(c *class) {
 	k := int(c.k + 0.5)
@@ -1025,8 +993,6 @@
 	return latency / pDraws, busy / pDraws
 }
 
-// ---- The budget of further attempts
-
 // budget says whether one more further attempt fits, within the given share of what the window allows.
 func (r *Root) budget(share float64) bool {
 	from := r.now - r.s.ExtraSpanMs
@@ -1041,8 +1007,6 @@
 	return times[i:]
 }
 
-// ---- The list
-
 // follow subscribes where the list must be asked for, again after a failure, within the told limit.
 func (r *Root) follow() {
 	if !r.s.AskForList || r.follows || r.now < r.askAt {
