--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -325,3 +326,78 @@
 		t.Errorf("%d queries refused, %d of %d parts sent to dead replicas", refused, tried, all)
 	}
 }
+
+// A replica comes back cold, and all eighty roots are told at about the same
+// time. What they send it together, each knowing its own share alone, stays
+// within the told budget in every window: so many times what it can do then,
+// reckoned from what a warm replica of its cell is sent.
+func TestColdReplicaIsSparedByAllTogether(t *testing.T) {
+	s := large(80, 15)
+	f := newFleet(t, s, members(60, 15))
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 15 + 10*f.rng.Float64() }
+	f.load(3.5, 12, 6000)
+	cold := Addr(5)
+	warm := float64(f.sentTo(f.now-4000, func(a Addr) bool { return int(a-1)%15 == 4 })) / 4 / 4000 // a ms, each of four
+	back := f.now
+	m := members(60, 15)[cold-1]
+	m.ReadyAt = back
+	for i := range f.roots {
+		f.push(happening{at: back + 50*f.rng.Float64(), root: i, event: Event{Kind: ListNews, List: ListDelta, Members: []Member{m}}})
+	}
+	f.load(3.5, 12, 10000)
+	var at []float64
+	for _, x := range f.sends {
+		if x.to == cold && x.at >= back+50 {
+			at = append(at, x.at)
+		}
+	}
+	if len(at) < 20 {
+		t.Errorf("%d parts in 10 s: the replica never warms", len(at))
+	}
+	first := 0
+	for last, now := range at {
+		for now-at[first] > s.FallMs {
+			first++
+		}
+		can := warm * (s.ColdFrom + (1-s.ColdFrom)*(at[first]-back)/s.ColdMs)
+		if n := float64(last - first + 1); n > s.FallTimes*can*s.FallMs {
+			t.Fatalf("%v parts within %v ms at %.0f ms, %.0f allowed", n, s.FallMs, now-back, s.FallTimes*can*s.FallMs)
+		}
+	}
+}
+
+// BenchmarkQuery is the module's cost of one query of twelve parts, with all its
+// turns and outcomes, at today's number of nodes and at a large fleet's.
+func BenchmarkQuery(b *testing.B) {
+	for _, c := range []struct{ nodes, cells, roots int }{{18, 3, 3}, {60, 15, 80}} {
+		b.Run(fmt.Sprintf("nodes=%d", c.nodes), func(b *testing.B) {
+			s := large(c.roots, c.cells)
+			r, now, id := New(s, 1), 1e6, uint64(0)
+			r.Step(now, []Event{{Kind: ListNews, List: ListCached, Members: members(c.nodes, c.cells)}}, nil)
+			var events []Event
+			var acts []Action
+			for b.Loop() {
+				now += 280
+				id++
+				query := id
+				events = append(events[:0], Event{Kind: QueryCame, ID: id, LeftMs: 1000, Number: float64(query), Parts: 12})
+				for i := range 12 {
+					id++
+					events = append(events, Event{Kind: PartCame, ID: id, Number: float64(query), Shard: i, Weight: 1.0 / 12})
+				}
+				acts = r.Step(now, events, acts[:0])
+				events = events[:0]
+				for _, a := range acts {
+					if a.Kind == Send {
+						events = append(events, Event{Kind: AttemptDone, ID: a.ID, Addr: a.Addr, Outcome: OK, TookMs: 20})
+					}
+				}
+				now += 20
+				for i := range events { // answers come one by one, each with a turn
+					acts = r.Step(now, events[i:i+1], acts[:0])
+					now += 0.5
+				}
+			}
+		})
+	}
+}
