Bound the rest of dead replicas, and try them again once it is over

And the rest of a suspect, four sends of ours, had no bound: a root that refuses most of what comes sends little and would rest it for minutes. Lines: place, pick and retry by dead, and trialGap.

Change: a dead replica counts as such while it rests, 20 aims at most; then any part may go there.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -432,7 +432,9 @@
 }
 
 // trialGap is how long a suspect replica is left alone: the more roots try it, the longer each waits.
-func (r *Root) trialGap() float64 { return max(trialGap*r.typical, trialNews*r.gap) }
+func (r *Root) trialGap() float64 {
+	return max(trialGap*r.typical, min(trialNews*r.gap, warySpan*r.aim))
+}
 
 // judge looks at every listed replica afresh, for silence of any cause, by the fleet's median.
 func (r *Root) judge() {
@@ -535,7 +537,7 @@
 		}
 		rank := 1
 		switch {
-		case h.dead() && !(first && r.trial(h, p.q)):
+		case r.dead(h):
 			rank = 6
 		case r.now < h.fullTill:
 			rank = 5
@@ -588,8 +590,8 @@
 // many should find out one by one.
 func (r *Root) doubted(h *replica) bool { return h.suspect || h.group.bad > groupBad }
 
-// dead says that h refused the last connection, and that this was no single mishap.
-func (h *replica) dead() bool { return h.down && h.suspect }
+// dead says that h refused the last connection, no single mishap, and still rests.
+func (r *Root) dead(h *replica) bool { return h.down && h.suspect && r.now < h.trialAt }
 
 // trial says whether one in doubt is due for a real part: few in a query, and one where all its kind are.
 func (r *Root) trial(h *replica, q *query) bool {
@@ -697,7 +699,7 @@
 		}
 		switch h := r.pick(p, false); {
 		case h == nil || r.now < h.fullTill: // cold, or full for now: the part can wait
-		case h.dead(): // and so are all others
+		case r.dead(h): // and so are all others
 			r.refuse(q, max(r.typical, h.trialAt-r.now))
 		default:
 			r.send(p, h)
@@ -768,12 +770,12 @@
 	for i, p := range q.parts {
 		times[i], p.first = math.Inf(1), r.pick(p, true)
 		if h := p.first; h != nil {
-			if times[i] = r.predict(h) + max(0, h.fullTill-r.now); h.dead() && !r.trial(h, q) {
+			if times[i] = r.predict(h) + max(0, h.fullTill-r.now); r.dead(h) {
 				times[i] = math.Inf(1) // and so are all others that hold the shard
 			} else if r.doubted(h) { // a trial is tried elsewhere when overdue
 				times[i] = min(times[i], (1+overdue)*r.typical)
 				q.trials++
-				h.group.trialAt = r.now + max(trialGap*r.typical, r.gap)
+				h.group.trialAt = r.now + max(trialGap*r.typical, min(r.gap, warySpan*r.aim))
 			}
 			h.out = append(h.out, &attempt{turn: r.turn, open: true})
 			h.mayTake--
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -366,6 +366,25 @@
 	}
 }
 
+// A root that sends little, as it refuses most of what comes, must not rest dead
+// replicas for as long as that little would suggest: once they are back it tries
+// them within twenty aims.
+func TestIdleRootTriesReturnedReplicas(t *testing.T) {
+	f := newFleet(t, large(2, 1), members(4, 1))
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 20 }
+	f.load(0.5, 2, 20000)
+	f.node = func(int, Addr) (Outcome, float64) { return Unreachable, 1 }
+	f.load(0.5, 2, 30000)
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 20 }
+	f.load(0.5, 2, 12000)
+	back := f.now
+	f.load(0.5, 2, 20000)
+	late, all := f.late(back)
+	if all < 10 || late > all/5 {
+		t.Errorf("%d of %d queries late or refused, 12 s after all replicas are back", late, all)
+	}
+}
+
 // BenchmarkQuery is the module's cost of one query of twelve parts, with all its
 // turns and outcomes, at today's number of nodes and at a large fleet's.
 func BenchmarkQuery(b *testing.B) {
