--- a/decide/decide.go
+++ b/decide/decide.go
@@ -338,8 +338,7 @@
 	case Failed:
 		h.fails += smooth * (1 - h.fails)
 		a.quick = age < r.typical/2
-		h.failMs = cmp.Or(h.failMs, age)
-		h.failMs += smooth * (age - h.failMs)
+		h.failMs = toward(h.failMs, age, smooth)
 		r.fault(h)
 	case Unreachable:
 		if h.brokeAt > 0 {
@@ -377,10 +376,12 @@
 
 // blend takes one part into the mean of its group, weighed by query: the slowest parts of each come last.
 func (r *Root) blend(mean *float64, took float64, a *attempt) {
-	*mean = cmp.Or(*mean, took)
-	*mean += (took - *mean) / max(1, r.classes[a.p.q.class].k)
+	*mean = toward(*mean, took, 1/max(1, r.classes[a.p.q.class].k))
 }
 
+// toward moves a smoothed mean by the share w to x; the first x is taken whole.
+func toward(mean, x, w float64) float64 { return cmp.Or(mean, x) + w*(x-cmp.Or(mean, x)) }
+
 func (r *Root) cold(h *replica) bool { return r.now-h.since < r.s.ColdMs }
 
 // late notes an attempt whose work may go on: called off, it took its age at least; a time-out teaches none.
@@ -627,8 +628,7 @@
 	if len(p.tries) > 0 && !r.cheap(p) {
 		r.extras = append(r.extras, r.now)
 	}
-	p.tries = append(p.tries, a)
-	h.out = append(h.out, a)
+	p.tries, h.out = append(p.tries, a), append(h.out, a)
 	a.load = float64(len(h.out))
 	h.trialAt = r.now + r.trialGap()
 	h.mayTake-- // counts while it is cold
@@ -806,8 +806,7 @@
 	q.came, q.predicted = r.now, ms
 	if !q.second {
 		r.open = append(r.open, q)
-		c.k = cmp.Or(c.k, k)
-		c.k += (k - c.k) / 10
+		c.k = toward(c.k, k, 0.1)
 		v, until := c.Worth, q.aim
 		if !r.s.WorthByWork {
 			v /= max(1, k*c.mean)
@@ -928,8 +927,7 @@
 // ended learns from a query that was taken in how its time compares with the predicted.
 func (c *class) ended(q *query, now float64, late bool) {
 	if q.second {
-		c.fetch = cmp.Or(c.fetch, now-q.came)
-		c.fetch += smooth * (now - q.came - c.fetch)
+		c.fetch = toward(c.fetch, now-q.came, smooth)
 	}
 	if c.late *= 1 - smooth; late {
 		c.late += smooth
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -181,6 +181,9 @@
 			}
 		}
 		conn.Close()
+		for len(f.slots) > 1 { // one is taken for the next: a crowded front ends connections
+			time.Sleep(time.Millisecond)
+		}
 	}
 	if core.taken() != 0 {
 		t.Errorf("%d queries reached the core", core.taken())
