Remember late answers as long as other rare news, and let their share raise predictions

A multi-quote waits for the slowest of its twelve parts; what that takes beside the predicted (slip) is learned at each, but faded within 30 typical latencies, 1.2 s, while a broker gets one about every half second and has answers to a few of them.

At fault: the fading in admit, and that a prediction which is right on average still lets half of the queries be late where a broker's news is older than the queues it speaks of. Now lateness is remembered as long as a replica's news (eight sends of our own to one), and predictions are raised by the share that ended late, by how rare our sends are beside calm latencies: next to nothing at two or three brokers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -164,7 +164,7 @@
 	lived, lost            flow      // replicas that lived on after a connection broke, or refused the next part
 	average, typical, most float64   // mean and median latency of replicas; the most sent of late
 	aim, lastNews, waryTo  float64   // shortest aim of a class; the latest answer; till when a part goes ahead
-	born, gap              float64   // first turn; between two sends of ours to one replica, as a mean
+	born, gap, memory      float64   // first turn; mean time between two sends to a replica; how long news is kept
 	fleet, calm            float64   // mean level of the groups; the typical one when little waits
 	sweepAt, askAt, askGap float64
 	follows, told          bool // told: a list has come
@@ -454,14 +454,14 @@
 	// A root among many hears of each replica seldom: then some answers' worth of news is kept, however old.
 	span := rateSpanMs * (1 - math.Exp(-(r.now-r.born+1)/rateSpanMs))
 	r.gap = span * float64(len(r.listed)) / max(1, r.sent.value(r.now))
-	memory := max(fade*r.average+1, min(fadeNews*r.gap, fadeMost*r.aim))
+	r.memory = max(fade*r.average+1, min(fadeNews*r.gap, fadeMost*r.aim))
 	var levels []float64
 	r.fleet = 0
 	for _, h := range r.listed {
 		fresh, old, soon := 0.0, cmp.Or(h.group.level, r.average), 0.0
 		if h.heard {
 			age := r.awake() - h.lastNews
-			fresh, soon = math.Exp(-age/memory), math.Exp(-age/(fade*r.average+1))
+			fresh, soon = math.Exp(-age/r.memory), math.Exp(-age/(fade*r.average+1))
 		}
 		h.faded, h.quiet = old+(h.lat-old)*fresh, r.silence(h)
 		h.soon, h.level = old+(h.lat-old)*soon, max(h.faded, h.quiet)
@@ -818,8 +818,10 @@
 		pressed := max(0, min(1, r.fleet/cmp.Or(r.calm, r.fleet, 1)-1)) // full at twice the calm level
 		share := min(1, max(roomLeast, roomAim*math.Sqrt(math.Sqrt(v/max(v/10, r.usualV, 1e-9)))))
 		room := (1 - pressed*(1-share)) * (until - r.now)
-		// A query waits for its slowest part: once some end late, means are scaled by how those took. This fades.
-		ms *= 1 + min(1, c.late/lateMost)*(c.slip-1)*math.Exp(-(r.now-c.slipAt)/(fade*r.typical+1))
+		// A query waits for its slowest part: once some end late, means are scaled by how those took, and where
+		// we are one root among many by more, as what we know is old. This fades.
+		slip := c.slip * (1 + c.late*min(1, r.gap/(fade*r.calm+1)))
+		ms *= 1 + min(1, c.late/lateMost)*(slip-1)*math.Exp(-(r.now-c.slipAt)/r.memory)
 		if ms > room || q.end-r.now <= 2*endTicks*r.s.TickMs {
 			r.refuse(q, ms-room)
 			return
@@ -1001,8 +1003,7 @@
 func (r *Root) budget(share float64) bool {
 	from := r.now - r.s.ExtraSpanMs
 	r.extras, r.taken = since(r.extras, from), since(r.taken, from+r.s.TickMs)
-	allowed := r.s.ExtraFloor + r.s.ExtraShare*float64(len(r.taken))
-	return float64(len(r.extras)+1) <= share*allowed
+	return float64(len(r.extras)+1) <= share*(r.s.ExtraFloor+r.s.ExtraShare*float64(len(r.taken)))
 }
 
 // since drops the times before from.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -332,6 +332,32 @@
 	}
 }
 
+// More comes than the replicas can do, and each of many roots learns of their
+// queues seldom. Taking in what is then answered late serves nobody: of the
+// answers most must come within the aim.
+func TestFewAnswersAreLateUnderOverload(t *testing.T) {
+	f := newFleet(t, large(80, 15), members(60, 15))
+	free := map[Addr]float64{} // when each replica, one part at a time, is through
+	f.node = func(_ int, a Addr) (Outcome, float64) {
+		free[a] = max(free[a], f.now) + 5 + 15*f.rng.ExpFloat64()
+		return OK, free[a] - f.now + 2
+	}
+	f.load(2, 12, 4000)
+	from := f.now
+	f.load(4.5, 12, 10000)
+	f.run(f.now + 1500)
+	answered := 0
+	for _, e := range f.ends {
+		if e.at >= from && e.kind == Answer {
+			answered++
+		}
+	}
+	late, all := f.late(from)
+	if in := all - late; answered < 1500 || answered-in > answered/5 {
+		t.Errorf("%d of %d queries answered, %d in time", answered, all, in)
+	}
+}
+
 // Where every holder of a shard refuses connections, nothing is to be waited
 // for: a query that needs it ends at once with a time to come back, and none of
 // its other parts is sent once that is known. A few trials tell when one is back.
