Test a drain and a node's end that an overbooked discovery tells late

The hard case had no test on sockets: discovery refuses, breaks off and sends what is no list while a drain and the end of a node are to be told. Queries are served by the list in hand meanwhile, with a node on it that is gone, and no part goes to the draining node over 500 ms after it was told. On the platform's protocol, Flight and both; fails where the client does not ask again. The stand-in of discovery learned to spoil answers.

--- a/daemon/rules_test.go
+++ b/daemon/rules_test.go
@@ -260,6 +260,44 @@
 	})
 }
 
+// Discovery is overbooked when a drain and a node's end are to be told: it
+// refuses, breaks off and talks nonsense first. Until it tells them the list in
+// hand serves, with the node that is gone still on it; once it has, both hold.
+func TestListInHandServesWhileDiscoveryFails(t *testing.T) {
+	each(t, 3, nil, func(t *testing.T, r *rig) {
+		ask := func() {
+			t.Helper()
+			if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six}); got.Kind != "served" {
+				t.Fatalf("got %+v", got)
+			}
+		}
+		ask()
+		r.disco.Fail("broken", "refused", "garbled", "broken", "refused")
+		drained, gone := r.nodes[0].Entry(), r.nodes[1].Entry()
+		drained.State, gone.State = "terminating", "terminated"
+		r.disco.Change(drained)
+		r.nodes[1].Stop()
+		version := r.disco.Change(gone)
+		for end := time.Now().Add(20 * time.Second); r.disco.Told(version).IsZero(); ask() {
+			if time.Now().After(end) {
+				t.Fatal("discovery was not asked again")
+			}
+		}
+		limit := r.disco.Told(version).Add(500 * time.Millisecond)
+		for i := 0; i < 20 || time.Now().Before(limit.Add(100*time.Millisecond)); i++ {
+			ask()
+		}
+		if left := r.disco.Left(); left > 0 {
+			t.Errorf("%d answers were never asked for", left)
+		}
+		for _, c := range r.nodes[0].Calls() {
+			if c.At.After(limit) {
+				t.Fatalf("a part was sent %v after the drain was told", c.At.Sub(limit)+500*time.Millisecond)
+			}
+		}
+	})
+}
+
 // A node that has just started gets its share little by little.
 func TestColdNodeIsSpared(t *testing.T) {
 	each(t, 3, nil, func(t *testing.T, r *rig) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -164,7 +164,7 @@
 	lived, lost            flow      // replicas that lived on after a connection broke, or refused the next part
 	average, typical, most float64   // mean and median latency of replicas; the most sent of late
 	aim, lastNews, waryTo  float64   // shortest aim of a class; the latest answer; till when a part goes ahead
-	born, gap, memory      float64   // first turn; mean time between two sends to a replica; how long news is kept
+	born, gap, memory      float64   // first turn; between two sends of ours to a replica; how long news is kept
 	fleet, calm            float64   // mean level of the groups; the typical one when little waits
 	sweepAt, askAt, askGap float64
 	follows, told          bool // told: a list has come
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -56,6 +56,7 @@
 	changed chan struct{}
 	told    map[int]time.Time // when a version was first written to a broker
 	calls   []string
+	faults  []string
 }
 
 // NewDiscovery starts discovery with a list.
@@ -91,12 +92,27 @@
 	if after != "" {
 		out["servers"] = d.logged[seen+1:]
 	}
-	version := d.version
+	version, fault := d.version, ""
+	if len(d.faults) > 0 {
+		fault, d.faults = d.faults[0], d.faults[1:]
+	}
 	d.mu.Unlock()
 	data, err := json.Marshal(out)
 	if err != nil {
 		panic(err)
 	}
+	switch fault {
+	case "refused":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "broken":
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	case "garbled":
+		_, _ = w.Write(data[:len(data)-1])
+		return
+	}
 	_, _ = w.Write(data) // the broker may have gone
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
@@ -108,6 +124,22 @@
 	}
 }
 
+// Fail spoils the next answers, in this order: "refused" has status 503, "broken"
+// ends in its middle, "garbled" is whole but no list. A call that waits already
+// is spoiled when it is answered.
+func (d *Discovery) Fail(faults ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.faults = append(d.faults, faults...)
+}
+
+// Left counts the answers that are still to be spoiled.
+func (d *Discovery) Left() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.faults)
+}
+
 // Change tells one entry anew.
 func (d *Discovery) Change(e Entry) (version int) {
 	d.mu.Lock()
