Send cold nodes what warm capacity has borne, also from brokers that have just started

Ruled out: rejections by cold nodes (0.0 to 0.2 a second); slow answers of theirs.

TestColdReplicasGetTheirShareFromNewRoots fails with the old module: 12 parts to a cold replica in three seconds, 25 now, of 92 to a warm one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,7 +58,6 @@
 	ownSpanMs  = 10000 // over this window
 	coldShare  = 0.65  // of the told fall budget: other roots may carry more traffic than we do
 	rateSpanMs = 5000  // window of the usual send rate: long beside gaps between sends
-	mostSends  = 1000  // sends over which the largest count of them fades: refusals do not fade it
 	askFirstMs = 100   // first pause before asking for the list again; doubles, with jitter
 	calmRise   = 0.05  // the calm level is relearned upwards by this share at each look at p
 	sweepTicks = 4     // ticks between looks at what is open
@@ -160,9 +159,10 @@
 	tenants                []flow    // what each tenant sent here inside its allowance
 	usualV, seen           float64   // smoothed worth for work of the queries that come; how many
 	extras, taken          []float64 // times: further attempts, and what was taken in
-	came, sent, died       flow      // parts that came, sends, and attempts under which a replica died
+	sent, died             flow      // sends, and attempts under which a replica died
+	borne, units, judgedAt float64   // answers, and warm replicas times ms, fading over ColdMs; when
 	lived, lost            flow      // replicas that lived on after a connection broke, or refused the next part
-	average, typical, most float64   // mean and median latency of replicas; the most sent of late
+	average, typical       float64   // mean and median latency of replicas
 	aim, lastNews, waryTo  float64   // shortest aim of a class; the latest answer; till when a part goes ahead
 	born, gap, memory      float64   // first turn; between two sends of ours to a replica; how long news is kept
 	fleet, calm            float64   // mean level of the groups; the typical one when little waits
@@ -259,7 +259,6 @@
 			q.between, q.second, q.weight, q.answered, q.forked = false, true, 0, 0, false
 			r.fresh = append(r.fresh, q)
 		}
-		r.came.add(r.now)
 		p := &part{id: e.ID, q: q, shard: e.Shard, weight: e.Weight}
 		q.parts = append(q.parts, p)
 		r.parts[p.id] = p
@@ -277,8 +276,7 @@
 	}
 }
 
-// aim is how long the query's full worth lasts. First tries are given a time that others are given too,
-// short where clients are impatient; a last try is given what is left to its own client's deadline.
+// aim is how long the full worth lasts: a last try, told by a time that no others get, has what is left.
 func (c *class) aim(e *Event, tick float64) float64 {
 	aim := min(c.AimMs+c.AimStretch*e.WorkMs, c.DeadlineMs)
 	seen := func(t float64) bool { return math.Abs(e.LeftMs-t) < tick }
@@ -299,6 +297,7 @@
 	h.down = h.down && e.Outcome > Rejected
 	switch e.Outcome {
 	case OK:
+		r.borne++
 		if r.stalled == 0 { // else it came at some time of our absence
 			r.learn(a, age)
 		}
@@ -379,6 +378,11 @@
 
 func (r *Root) cold(h *replica) bool { return r.now-h.since < r.s.ColdMs }
 
+// warmth is the least share of its capacity that a replica has.
+func (r *Root) warmth(h *replica) float64 {
+	return min(1, r.s.ColdFrom+(1-r.s.ColdFrom)*max(0, r.now-h.since)/max(1, r.s.ColdMs))
+}
+
 // late notes an attempt whose work may go on: called off, it took its age at least; a time-out teaches none.
 func (r *Root) late(a *attempt) {
 	if age := r.awake() - a.woke; age > a.at.lat && a.off && (a.p.got || a.p.dropped) {
@@ -431,8 +435,13 @@
 
 // judge looks at every listed replica afresh, for silence of any cause, by the fleet's median.
 func (r *Root) judge() {
-	heard, sum := 0, 0.0
+	heard, sum, passed := 0, 0.0, r.now-cmp.Or(r.judgedAt, r.now)
+	kept := math.Exp(-passed / max(1, r.s.ColdMs))
+	r.borne, r.units, r.judgedAt = r.borne*kept, r.units*kept, r.now
 	for _, h := range r.listed {
+		if h.State == Ready {
+			r.units += r.warmth(h) * passed
+		}
 		h.out = slices.DeleteFunc(h.out, func(a *attempt) bool { return !a.open && a.until <= r.now })
 		if h.heard {
 			heard, sum = heard+1, sum+h.lat
@@ -561,8 +570,7 @@
 	return score
 }
 
-// flaky gives a replica that fails many parts, but at once, in place of best where the time expected is
-// shorter, the tries elsewhere counted: while all it can do is left to the others, they may be overloaded.
+// flaky gives one that fails parts, but at once, in place of best where that is quicker, all tries counted.
 func (r *Root) flaky(p *part, best *replica, bestScore float64) *replica {
 	least := bestScore
 	for _, h := range r.holders(p) {
@@ -594,16 +602,12 @@
 func (r *Root) holders(p *part) []*replica { return r.cells[uint(p.shard)%uint(len(r.cells))] }
 
 // coldRoom keeps a cold replica from being pushed over: a root sends it, on average, its part of the told
-// budget, by what it usually sends one, and at first a random share of a part; what joins a call is owed.
+// budget, by what warm ones have borne, and at first a random share of a part; what joins a call is owed.
 func (r *Root) coldRoom(h *replica) bool {
 	if joins := r.s.BundleMax > 1 && len(h.out) > 0 && h.out[len(h.out)-1].turn == r.turn; joins || !r.cold(h) {
 		return true
 	}
-	warm := r.s.ColdFrom + (1-r.s.ColdFrom)*max(0, r.now-h.since)/r.s.ColdMs
-	// What is sent falls as more is refused, so the most sent of late counts, and half of what comes.
-	came := r.came.value(r.now)
-	came = max(min(came, r.most), came/2) / rateSpanMs / float64(max(1, len(r.listed)))
-	allowed := coldShare * r.s.FallTimes * warm * came
+	allowed := coldShare * r.s.FallTimes * r.warmth(h) * r.borne / max(1, r.units)
 	if h.filledAt < h.since {
 		h.filledAt, h.mayTake = h.since, r.rng.Float64()
 	}
@@ -622,7 +626,6 @@
 	h.trialAt = r.now + r.trialGap()
 	h.mayTake-- // counts while it is cold
 	r.sent.add(r.now)
-	r.most = max(r.sent.count, r.most*(1-1.0/mostSends))
 	ms := max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)
 	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: ms, Doubt: r.doubted(h)})
 }
@@ -632,19 +635,18 @@
 
 // callOff cancels what is still out of a part. A first send counts as its age, for Algorithm 1 too.
 func (r *Root) callOff(p *part) {
-	for i, a := range p.tries {
-		if a.open && !a.off {
-			r.stop(p, i)
-		}
+	for i := range p.tries {
+		r.stop(p, i)
 	}
 }
 
 func (r *Root) stop(p *part, i int) {
 	a := p.tries[i]
-	if i == 0 {
+	runs := a.open && !a.off
+	if runs && i == 0 {
 		r.classes[p.q.class].sample(r.awake() - a.woke)
 	}
-	if a.off = r.s.MayCancel; a.off {
+	if a.off = a.off || runs && r.s.MayCancel; runs && a.off {
 		r.late(a)
 		r.do(Action{Kind: Cancel, ID: p.id, Attempt: i})
 	}
@@ -701,8 +703,7 @@
 	}
 }
 
-// dubious says that q may be what kills replicas: some died under its parts, or lately under others, or it is
-// a retry, and none of it has answered. Until one has, parts leave one by one; if deadly, it ends.
+// dubious says that q, of which nothing is in, may kill replicas: its parts go one by one, or it ends.
 func (q *query) dubious() bool { return (q.wary || q.broken > 0) && q.answered == 0 && !q.second }
 func (q *query) deadly() bool {
 	return q.dubious() && q.broken > 0 && (q.wary || q.broken > 1 && 2*q.broken >= len(q.parts))
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -568,3 +568,31 @@
 		t.Errorf("%d of %d queries answered, %d in time", answered, all, in)
 	}
 }
+
+// All roots have just started, and one holder of each shard is back, cold. What one
+// root has seen answered in its short life is little, but so is that life: together
+// they must send the cold ones what these can do, not a fraction, and stay within the
+// told budget.
+func TestColdReplicasGetTheirShareFromNewRoots(t *testing.T) {
+	s := large(120, 15)
+	all := members(60, 15)
+	for i := range 15 {
+		all[i].ReadyAt = 1e6
+	}
+	f := newFleet(t, s, all)
+	f.node = func(_ int, a Addr) (Outcome, float64) {
+		if a > 15 {
+			return OK, 40 + 40*f.rng.Float64() // busy
+		}
+		return OK, 15 + 10*f.rng.Float64()
+	}
+	f.load(1, 12, 2000)
+	from := f.now
+	f.load(1, 12, 3000)
+	cold := float64(f.sentTo(from, func(a Addr) bool { return a <= 15 })) / 15
+	warm := float64(f.sentTo(from, func(a Addr) bool { return a > 15 })) / 45
+	least, most := s.ColdFrom+(1-s.ColdFrom)*2000/s.ColdMs, s.ColdFrom+(1-s.ColdFrom)*5000/s.ColdMs
+	if cold < 0.8*least*warm || cold > s.FallTimes*most*warm {
+		t.Errorf("%.0f parts to a cold replica, %.0f to a warm one, of which it can do %.2f to %.2f", cold, warm, least, most)
+	}
+}
