Start with a configuration that has more than we know: "console" stopped every start

Changed: top-level fields are read one by one; one that is not known, and `limits.*` beyond the three, is passed over and named in the log. `hand_over_ms`, `log_level`, `flight`, `store` and `tracing` stay strict, and `check-config` refuses what a start passes over.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -106,7 +106,7 @@
 	return &cobra.Command{
 		Use: "check-config", Short: "Read the configuration and say what is wrong with it", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := config.Load(*path, os.Getenv)
+			cfg, err := config.Check(*path, os.Getenv)
 			if err != nil {
 				return err
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -193,15 +193,19 @@
 	d.mu.Lock()
 	d.followAt(cfg.Discovery, known)
 	d.mu.Unlock()
-	if cfg.Admin != "" {
-		log.Info().Str("event", "unused").Str("field", "admin").Str("value", cfg.Admin).
-			Msg("the configuration names a field that this broker has no use for")
-	}
+	d.passedOver(cfg)
 	log.Info().Str("event", "started").Str("name", cfg.Name).Str("listen", d.Addr().String()).
 		Str("procs", strconv.Itoa(runtime.GOMAXPROCS(0))).Msg("serving")
 	return d, nil
 }
 
+// passedOver says what of the configuration this broker does without.
+func (d *Daemon) passedOver(cfg *config.Config) {
+	for _, n := range cfg.Notes {
+		d.log.Warn().Str("event", "unused").Str("field", n.Path).Err(n.Err).Msg("the configuration has something that this broker does without")
+	}
+}
+
 // followAt begins to watch discovery at addr, from the version in hand where
 // that is this discovery's, and ends the watch before it, whose late answers no
 // longer count: they would bring an old list back. d.mu is held.
@@ -260,6 +264,7 @@
 	if next.Discovery != old.Discovery {
 		d.followAt(next.Discovery, nil)
 	}
+	d.passedOver(cfg)
 	d.log.Info().Str("event", "reload").Str("discovery", next.Discovery).Bool("moved", next.Discovery != old.Discovery).
 		Strs("need_restart", config.NeedRestart(old, cfg)).Msg("the configuration file was read again")
 }
