Make a list change cost the module near linear time, not nodes times sets

Cause: decide.news looked up each listed node in the news, and went through all nodes for each cell; judge faded the group's latency once for each node.

Change: the news' addresses are a set, each node is put into the cells it holds, a group fades once a turn. No decision changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -446,7 +447,9 @@
 		if h.heard {
 			heard, sum = heard+1, sum+h.lat
 		}
-		h.group.level = r.stale(h.group.lat)
+	}
+	for _, g := range r.groups {
+		g.level = r.stale(g.lat)
 	}
 	r.average = r.stale(sum / float64(max(1, heard)))
 	for _, h := range r.listed {
@@ -1030,11 +1033,13 @@
 	if r.follows = r.follows && e.List != ListFailed; e.List == ListFailed {
 		return
 	}
-	if e.List != ListDelta {
-		for _, h := range r.listed {
-			if !slices.ContainsFunc(e.Members, func(m Member) bool { return m.Addr == h.Addr }) {
-				h.State = Gone
-			}
+	named := make(map[Addr]bool, len(e.Members))
+	for _, m := range e.Members {
+		named[m.Addr] = true
+	}
+	for _, h := range r.listed {
+		if e.List != ListDelta && !named[h.Addr] {
+			h.State = Gone
 		}
 	}
 	if e.List != ListCached {
@@ -1062,21 +1067,14 @@
 		h.group = cmp.Or(r.groups[key], &group{})
 		r.groups[key] = h.group
 	}
-	r.told, r.listed = true, r.listed[:0]
-	for a, h := range r.replicas {
-		if h.State == Gone && len(h.out) == 0 {
-			delete(r.replicas, a)
-			continue
-		}
-		r.listed = append(r.listed, h)
-	}
+	maps.DeleteFunc(r.replicas, func(_ Addr, h *replica) bool { return h.State == Gone && len(h.out) == 0 })
+	r.told, r.listed = true, slices.AppendSeq(r.listed[:0], maps.Values(r.replicas))
 	slices.SortFunc(r.listed, func(a, b *replica) int { return cmp.Compare(a.Addr, b.Addr) })
-	for c := range r.cells {
-		r.cells[c] = nil
-		for _, h := range r.listed {
-			if ahead := ((h.Cell-c)%r.s.Cells + r.s.Cells) % r.s.Cells; h.State == Ready && ahead < r.s.InARow {
-				r.cells[c] = append(r.cells[c], h)
-			}
+	clear(r.cells)
+	for _, h := range r.listed { // once for each set that it holds: sets times replicas would be too many
+		for back := 0; h.State == Ready && back < min(r.s.InARow, r.s.Cells); back++ {
+			c := ((h.Cell-back)%r.s.Cells + r.s.Cells) % r.s.Cells
+			r.cells[c] = append(r.cells[c], h)
 		}
 	}
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -466,7 +466,7 @@
 // BenchmarkQuery is the module's cost of one query of twelve parts, with all its
 // turns and outcomes, at today's number of nodes and at a large fleet's.
 func BenchmarkQuery(b *testing.B) {
-	for _, c := range []struct{ nodes, cells, roots int }{{18, 3, 3}, {60, 15, 80}} {
+	for _, c := range []struct{ nodes, cells, roots int }{{18, 3, 3}, {60, 15, 80}, {1024, 256, 1024}} {
 		b.Run(fmt.Sprintf("nodes=%d", c.nodes), func(b *testing.B) {
 			s := large(c.roots, c.cells)
 			r, now, id := New(s, 1), 1e6, uint64(0)
@@ -499,6 +499,27 @@
 	}
 }
 
+// A release changes the list once a node: what each change costs must not grow with
+// nodes times sets.
+func BenchmarkListChange(b *testing.B) {
+	for _, c := range []struct{ nodes, cells int }{{60, 15}, {1024, 256}} {
+		for _, kind := range []ListKind{ListDelta, ListFull} {
+			b.Run(fmt.Sprintf("nodes=%d,kind=%d", c.nodes, kind), func(b *testing.B) {
+				r, now, all := New(large(1024, c.cells), 1), 1e6, members(c.nodes, c.cells)
+				r.Step(now, []Event{{Kind: ListNews, List: ListCached, Members: all}}, nil)
+				news := all
+				if kind == ListDelta {
+					news = all[:1]
+				}
+				for b.Loop() {
+					now += 20
+					r.Step(now, []Event{{Kind: ListNews, List: kind, Members: news}}, nil)
+				}
+			})
+		}
+	}
+}
+
 // Three of the four holders of each shard are cut off: connections to them never come
 // up, which each root finds out at each of them. What never ran is no work that a
 // further attempt adds to: it must not use up what the root allows itself, or whole
