Let idle connections make room for other nodes, and size the tables by need

Changed: where all places are taken the connection that has rested the longest is closed; where none rests, the part has not been sent, which is not the node's fault (nodeclient.room, flightnode.room). Where the list in `known` is long, nodes get up to half of the clients' descriptors. The engine's table of connections went by the system's limit, up to 2 million entries or 16 MB; now 65,536 at most.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,24 @@
 	debug.SetGCPercent(400) // the live heap is small beside the limit
 }
 
+// shares splits the descriptors between clients and nodes that speak frames; an
+// eighth is left for nodes that speak Flight. A sixteenth is kept
+// for discovery, the log and connections that change hands. Without a Flight front
+// its share goes to the clients; what a long list needs comes out of theirs.
+func shares(sockets int, flight bool, known *discovery.List) (clients, frames int) {
+	clients, frames = sockets/2, sockets*5/16
+	if flight {
+		clients = sockets * 3 / 8
+	}
+	if known != nil {
+		spare := max(0, clients-sockets/4) // clients keep a quarter
+		want := len(known.Nodes) + len(known.Nodes)/8
+		more := max(0, min(spare, want-frames))
+		clients, frames = clients-more, frames+more
+	}
+	return max(1, clients), max(1, frames)
+}
+
 // sink breaks the circle between the core and its node clients.
 type sink struct{ core *broker.Core }
 
@@ -98,12 +116,7 @@
 	lev := &level{}
 	lev.set(cfg.LogLevel)
 	log = log.Sample(lev)
-	// A sixteenth is kept for discovery, the log and connections that change
-	// hands. Without a Flight front its share goes to the clients.
-	clients := sockets * 3 / 8
-	if cfg.Flight == nil {
-		clients = sockets / 2
-	}
+	clients, frames := shares(sockets, cfg.Flight != nil, cfg.Known)
 	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev, known: make(chan struct{})}
 	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.window.Store(int64(cfg.HandOver))
@@ -121,7 +134,7 @@
 	}
 	d.nodes = nodeclient.New(nodeclient.Options{
 		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
-		ConnIdle: cfg.ConnIdle, MaxConns: sockets * 5 / 16, Observer: wire,
+		ConnIdle: cfg.ConnIdle, MaxConns: frames, Observer: wire,
 		Probes: cfg.Settings.MayProbe, Log: log,
 	})
 	d.remote = flightnode.New(flightnode.Options{
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -66,6 +66,7 @@
 	id, addr string
 	conn     *grpc.ClientConn // nil until it is needed
 	out      int              // attempts and probes
+	rests    time.Time        // since when none is out
 	listed   bool
 	several  bool                   // paths knows its addresses
 	at       atomic.Pointer[string] // of several, the address that its connection leads to
@@ -211,17 +212,37 @@
 	return g.Conn.Close()
 }
 
-// reach returns the node and its connection, made if need be.
-func (c *Client) reach(id string) *node {
+// room says whether one more connection may be made. Where all places are taken,
+// that of the node which has rested the longest is closed. c.mu is held.
+func (c *Client) room() bool {
+	if c.conns < c.opts.MaxConns {
+		return true
+	}
+	var oldest *node
+	for _, n := range c.nodes {
+		if n.conn != nil && n.out == 0 && (oldest == nil || n.rests.Before(oldest.rests)) {
+			oldest = n
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	c.hangUp(oldest)
+	return true
+}
+
+// reach returns the node and its connection, made if need be; else what came of
+// it: want of room is no fault of the node's.
+func (c *Client) reach(id string) (*node, decide.Outcome) {
 	n := c.nodes[id]
 	if n == nil || c.shut {
-		return nil
+		return nil, decide.Unreachable
 	}
 	if n.conn == nil {
-		if c.conns >= c.opts.MaxConns {
+		if !c.room() {
 			c.opts.Log.Warn().Str("event", "pool-full").Str("node", id).Int("conns", c.conns).
-				Msg("no connection may be opened")
-			return nil
+				Msg("no connection may be opened, and none is idle")
+			return nil, decide.NotSent
 		}
 		options := []grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -239,12 +260,12 @@
 		conn, err := grpc.NewClient("passthrough:///"+n.addr, options...)
 		if err != nil {
 			c.opts.Log.Error().Str("event", "connect").Str("node", id).Err(err).Msg("a node could not be reached")
-			return nil
+			return nil, decide.Unreachable
 		}
 		n.conn = conn
 		c.conns++
 	}
-	return n
+	return n, decide.OK
 }
 
 // Send implements broker.NodeClient. Flight has no calls of many parts: each
@@ -252,10 +273,13 @@
 func (c *Client) Send(id string, calls []broker.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.reach(id)
+	n, failed := c.reach(id)
+	if n != nil && len(c.calls)+len(calls) > maxCalls {
+		n, failed = nil, decide.NotSent
+	}
 	for _, a := range calls {
-		if n == nil || len(c.calls) >= maxCalls {
-			c.opts.Sink.Outcome(a.ID, decide.Unreachable, broker.Answer{})
+		if n == nil {
+			c.opts.Sink.Outcome(a.ID, failed, broker.Answer{})
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), a.Wait)
@@ -289,6 +313,7 @@
 	if n.out > 0 {
 		return
 	}
+	n.rests = time.Now()
 	if c.nodes[n.id] != n {
 		c.hangUp(n)
 	} else if !n.listed {
@@ -431,9 +456,9 @@
 func (c *Client) Probe(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.reach(id)
+	n, failed := c.reach(id)
 	if n == nil {
-		c.opts.Sink.Probed(id, decide.Unreachable, 0)
+		c.opts.Sink.Probed(id, failed, 0)
 		return
 	}
 	n.out++
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -39,6 +39,14 @@
 	onFlush atomic.Pointer[func()]
 }
 
+// maxDescriptor bounds the engine's table of connections, which goes by descriptor:
+// else it has room for all that the system would let the process open, two million
+// of them or 16 MB, however few the broker may hold. The kernel hands out the lowest
+// number that is free.
+const maxDescriptor = 1 << 16
+
+func init() { nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxDescriptor) }
+
 // New starts a loop whose write buffers hold at most maxWrite bytes a
 // connection.
 func New(maxWrite int) (*Loop, error) {
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -70,6 +70,7 @@
 	nodes map[string]*node
 	where map[broker.AttemptID]*call
 	conns int
+	full  time.Time // when want of room was logged last
 	shut  bool
 }
 
@@ -93,6 +94,7 @@
 	addr      string
 	sock      *netio.Conn // nil while it is being made
 	gone      bool
+	counted   bool // it takes one of the client's places
 	buf       []byte
 	calls     map[string]*call            // by the part's id
 	abandoned map[string]broker.AttemptID // given up; an answer may still come
@@ -196,18 +198,18 @@
 func (c *Client) sendTo(id string, calls []broker.Attempt, moves int) {
 	n := c.nodes[id]
 	if n == nil || c.shut {
-		c.never(calls)
+		c.never(calls, decide.Unreachable)
 		return
 	}
 	now := time.Now()
 	alone := now.Before(n.shy)
 	cn := n.pick(c.opts.StreamsPerConn, calls, alone)
-	if cn == nil && alone && c.conns >= c.opts.MaxConns {
+	if cn == nil && alone && !c.room() {
 		cn = n.pick(c.opts.StreamsPerConn, calls, false)
 	}
 	if cn == nil {
 		if cn = c.dial(n); cn == nil {
-			c.never(calls)
+			c.never(calls, decide.NotSent)
 			return
 		}
 	}
@@ -227,9 +229,44 @@
 	}
 }
 
-func (c *Client) never(calls []broker.Attempt) {
+// never ends attempts that were not sent. Where want of room is the cause, it is
+// ours, and tells nothing of the node.
+func (c *Client) never(calls []broker.Attempt, o decide.Outcome) {
 	for i := range calls {
-		c.opts.Sink.Outcome(calls[i].ID, decide.Unreachable, broker.Answer{})
+		c.opts.Sink.Outcome(calls[i].ID, o, broker.Answer{})
+	}
+}
+
+// room says whether one more connection may be made. Where all places are taken,
+// the one that has carried nothing for the longest is closed: with more nodes on the
+// list than places, those that were met first would else shut out all others.
+// c.mu is held.
+func (c *Client) room() bool {
+	if c.conns < c.opts.MaxConns {
+		return true
+	}
+	var oldest *conn
+	for _, n := range c.nodes {
+		for _, cn := range n.conns {
+			if cn.counted && cn.idle() && (oldest == nil || cn.used.Before(oldest.used)) {
+				oldest = cn
+			}
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.spoilt, oldest.ours = true, true
+	oldest.release()
+	oldest.sock.Close()
+	return true
+}
+
+// release gives a connection's place back, once.
+func (cn *conn) release() {
+	if cn.counted {
+		cn.counted = false
+		cn.c.conns--
 	}
 }
 
@@ -298,9 +335,12 @@
 }
 
 func (c *Client) dial(n *node) *conn {
-	if c.conns >= c.opts.MaxConns {
-		c.opts.Log.Warn().Str("event", "pool-full").Str("node", n.id).Int("conns", c.conns).
-			Msg("no connection may be opened")
+	if !c.room() {
+		if now := time.Now(); now.Sub(c.full) >= complainEvery { // it would be a line a part
+			c.full = now
+			c.opts.Log.Warn().Str("event", "pool-full").Str("node", n.id).Int("conns", c.conns).
+				Msg("no connection may be opened, and none is idle")
+		}
 		return nil
 	}
 	several := n.several
@@ -325,7 +365,7 @@
 	c.conns++
 	now := time.Now()
 	cn := &conn{
-		c: c, node: n, addr: n.addr, used: now, dialed: now,
+		c: c, node: n, addr: n.addr, used: now, dialed: now, counted: true,
 		calls: map[string]*call{}, abandoned: map[string]broker.AttemptID{},
 	}
 	if n.several {
@@ -458,7 +498,7 @@
 	cn := n.pick(c.opts.StreamsPerConn, nil, false)
 	if cn == nil {
 		if cn = c.dial(n); cn == nil {
-			c.opts.Sink.Probed(id, decide.Unreachable, 0)
+			c.opts.Sink.Probed(id, decide.NotSent, 0)
 			return
 		}
 	}
@@ -628,7 +668,7 @@
 		return
 	}
 	cn.gone = true
-	cn.c.conns--
+	cn.release()
 	for i, other := range cn.node.conns {
 		if other == cn {
 			cn.node.conns = append(cn.node.conns[:i], cn.node.conns[i+1:]...)
