--- a/cli/cli.go
+++ b/cli/cli.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"onyxsail/config"
@@ -56,7 +55,8 @@
 			if err != nil {
 				return err
 			}
-			log := zerolog.New(cmd.ErrOrStderr()).With().Timestamp().Logger()
+			log, flush := logTo(cmd.ErrOrStderr())
+			defer flush()
 			daemon.TuneRuntime(cfg.Limits)
 			d, err := daemon.Start(cfg, log)
 			if err != nil {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -86,6 +86,8 @@
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	late := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
+	defer late.Stop()
 	if err := p.cmd.Wait(); err != nil {
 		t.Fatalf("exit: %v\n%s", err, p.text())
 	}
