Bear a thousand nodes, bare starts and repeated signals; take clients without a list

Tests, on loopback, with the deploy file's own run line: 1,024 nodes (in `known`, in the discovery's list, then all replaced by a full list), 1,024 brokers and tenants, under 48 MB, 256 descriptors and 0.1 cores; 24 processes started at once, half of them killed and started again, all stopped; SIGHUP from 1 to 10 ms after the start and throughout it; discovery that takes connections and never answers, with SIGHUP to another and with SIGTERM; a list of 2 MB, indented, in chunks of 1 to 257 bytes; goroutines after load.

It is caught to the end now. - Without any list (empty `known`, discovery silent) a broker was never ready, a wait without end.

Threads are held to 10 in the tests, anonymous memory to 48 MB (24 MB for the 24 brokers).

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -64,8 +64,7 @@
 			}
 			for {
 				select {
-				case <-ctx.Done():
-					stop()
+				case <-ctx.Done(): // a second SIGTERM is still caught: it must not cut off what drains
 					return d.Stop(context.Background())
 				case <-hup:
 				}
--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -57,6 +57,214 @@
 	p.stop(t)
 }
 
+// start runs the program as the deploy file does, at an address of the caller's, and
+// does not wait for it.
+func start(t *testing.T, cfg []byte, listen string) *process {
+	t.Helper()
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, line, _ := strings.Cut(string(deploy), "\nrun = \"")
+	line, _, ok := strings.Cut(line, "\"\n")
+	if !ok || !strings.Contains(line, "bin/gannetchute") {
+		t.Fatalf("no run line: %q", line)
+	}
+	p := &process{cmd: exec.Command("/bin/sh", "-c", strings.ReplaceAll(line, "bin/gannetchute", program)), file: testkit.WriteFile(t, cfg)}
+	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+p.file, "NODE_LISTEN="+listen)
+	p.cmd.Stderr, p.cmd.Stdout = p, p
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // it has ended already where the test went well
+		_ = p.cmd.Wait()
+	})
+	return p
+}
+
+func serves(t *testing.T, addr, id string, shards ...int) {
+	t.Helper()
+	q := testkit.Query{Class: "screen", ID: id, Shards: shards, Within: 10 * time.Second}
+	if got := testkit.AskHTTP(context.Background(), addr, q); got.Kind != "served" || !got.Whole || len(got.Values) != len(shards) {
+		t.Errorf("%s: got %+v", id, got)
+	}
+}
+
+// A thousand nodes and brokers, under the smallest limits that the bench's days have
+// had: four times as many nodes as descriptors. A second list replaces them all.
+func TestThousandNodesUnderSmallLimits(t *testing.T) {
+	const nodes, cells, sockets, memoryMB = 1024, 256, 256, 48
+	real := make([]*testkit.Node, 8)
+	for i := range real {
+		real[i] = testkit.NewNode(t, fmt.Sprintf("real-%d", i), false)
+	}
+	list := func(prefix string, of []*testkit.Node) []testkit.Entry {
+		all := make([]testkit.Entry, nodes)
+		for i := range all {
+			all[i] = of[i%len(of)].Entry()
+			all[i].ID, all[i].Cell, all[i].Started = fmt.Sprintf("%s-%04d", prefix, i), i%cells, 1
+		}
+		return all
+	}
+	old, young := list("old", real[:4]), list("young", real[4:])
+	d := testkit.NewDiscovery(t, old...)
+	settings := testkit.Settings(func(s map[string]any) {
+		s["balancers"] = 1024
+		s["tenants"] = make([]map[string]any, 1024)
+		s["domain"].(map[string]any)["cells"], s["domain"].(map[string]any)["ranges"] = cells, cells
+	})
+	listen := freeAddr(t)
+	p := start(t, testkit.Config(d.Addr, old, settings, map[string]any{
+		"limits": map[string]any{"cores": 0.1, "memory_mb": memoryMB, "sockets": sockets},
+	}), listen)
+	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
+	load := func(name string) {
+		t.Helper()
+		for from := 0; from < 3*cells; from += 64 { // 64 nodes or more for each query: more than there are places
+			shards := make([]int, 64)
+			for i := range shards {
+				shards[i] = (from + i) % cells
+			}
+			serves(t, listen, fmt.Sprintf("%s%d", name, from), shards...)
+			if threads, kb, fds := p.numbers(t); threads > maxThreads || kb > memoryMB<<10 || fds > sockets {
+				t.Fatalf("%d threads, %d KB, %d descriptors, want %d, %d MB and %d at most", threads, kb, fds, maxThreads, memoryMB, sockets)
+			}
+		}
+	}
+	load("a")
+	version := d.Replace(young)
+	testkit.Eventually(t, "the list is told", func() bool { return !d.Told(version).IsZero() })
+	for _, n := range real[:4] {
+		n.Stop()
+	}
+	load("b")
+	if threads, kb, fds := p.numbers(t); t.Failed() {
+		t.Logf("%d threads, %d KB, %d descriptors\n%s", threads, kb, fds, p.text())
+	}
+	p.stop(t)
+}
+
+// maxThreads bounds those of one broker: main, the runtime's monitor, two for signals,
+// the sockets' poller, the two that run Go code, and one for each blocking call that
+// can be out at once: the log's write and a file that is read.
+const maxThreads = 10
+
+// Many brokers start at once, half are killed and start again, all are stopped: each
+// is ready, answers and ends, and threads and descriptors come back to what they were.
+func TestManyBrokersAtOnce(t *testing.T) {
+	const brokers = 24
+	n := testkit.NewNode(t, "s-1", false)
+	warm := n.Entry()
+	warm.Started = 1
+	d := testkit.NewDiscovery(t, warm)
+	addrs, all := make([]string, brokers), make([]*process, brokers)
+	begin := func(i int) {
+		all[i] = start(t, testkit.Config(d.Addr, []testkit.Entry{warm}, testkit.Settings(func(s map[string]any) {
+			s["balancers"], s["index"] = brokers, i
+		}), map[string]any{"limits": map[string]any{"cores": 0.05, "memory_mb": 48, "sockets": 256}}), addrs[i])
+	}
+	for i := range all {
+		addrs[i] = freeAddr(t)
+		begin(i)
+	}
+	each := func(round string) {
+		t.Helper()
+		for i := range all {
+			testkit.Eventually(t, "it is ready", func() bool { return ready(addrs[i]) })
+			for k := range 4 {
+				serves(t, addrs[i], fmt.Sprintf("%s%d-%d", round, i, k), 1, 2, 3, 4, 5, 6)
+			}
+		}
+	}
+	each("a")
+	for i := 0; i < brokers; i += 2 {
+		_ = all[i].cmd.Process.Kill()
+		_ = all[i].cmd.Wait() // killed: its status tells nothing
+		begin(i)
+	}
+	each("b")
+	for _, p := range all {
+		if threads, kb, _ := p.numbers(t); threads > maxThreads || kb > 24<<10 {
+			t.Errorf("%d threads, %d KB, want %d and 24 MB at most", threads, kb, maxThreads)
+		}
+	}
+	for _, p := range all { // at once; the second signal of stop must cut nothing off
+		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range all {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM) // fails where it has ended already
+		late := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
+		if err := p.cmd.Wait(); err != nil {
+			t.Errorf("exit: %v\n%s", err, p.text())
+		}
+		late.Stop()
+	}
+}
+
+// Signals that come before the program is ready: SIGHUP ends none and loses no
+// configuration, SIGTERM ends it in order.
+func TestSignalsDuringAStart(t *testing.T) {
+	n := testkit.NewNode(t, "s-1", false)
+	d := testkit.NewDiscovery(t, n.Entry())
+	cfg := testkit.Config(d.Addr, []testkit.Entry{n.Entry()}, testkit.Settings(nil), nil)
+	for after := range 10 { // milliseconds, over the whole of a start
+		listen := freeAddr(t)
+		p := start(t, cfg, listen)
+		time.Sleep(time.Duration(1+after) * time.Millisecond) // the shell has its trap by then
+		testkit.Eventually(t, "it is ready", func() bool {
+			_ = p.cmd.Process.Signal(syscall.SIGHUP)
+			return ready(listen)
+		})
+		serves(t, listen, "a", 1, 2)
+		p.stop(t)
+	}
+	hung, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hung.Close()
+	listen := freeAddr(t)
+	p := start(t, testkit.Config(hung.Addr().String(), nil, testkit.Settings(nil), nil), listen)
+	testkit.Eventually(t, "it listens", func() bool { c, err := net.Dial("tcp", listen); return err == nil && c.Close() == nil })
+	if ready(listen) {
+		t.Error("ready without a list")
+	}
+	if err := os.WriteFile(p.file, cfg, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "it is ready by the discovery of the new file", func() bool { return ready(listen) })
+	serves(t, listen, "b", 1, 2)
+	p.stop(t)
+	p = start(t, testkit.Config(hung.Addr().String(), nil, testkit.Settings(nil), nil), listen)
+	testkit.Eventually(t, "it listens", func() bool { c, err := net.Dial("tcp", listen); return err == nil && c.Close() == nil })
+	p.stop(t)
+}
+
+// Without any list a broker takes clients after a while all the same, and turns them
+// away at once.
+func TestNoListEver(t *testing.T) {
+	t.Parallel()
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hung.Close()
+	listen := freeAddr(t)
+	p := start(t, testkit.Config(hung.Addr().String(), nil, testkit.Settings(nil), nil), listen)
+	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
+	q := testkit.Query{Class: "screen", ID: "a", Shards: []int{1, 2}, Within: 3 * time.Second}
+	if got := testkit.AskHTTP(context.Background(), listen, q); got.Kind != "refused" || got.RetryAfter <= 0 || got.Took > time.Second {
+		t.Errorf("got %+v", got)
+	}
+	p.stop(t)
+}
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,10 @@
 	defaultSockets = 1024
 	maxWrite       = 512 << 10       // bytes that wait at one connection
 	drainWithin    = 8 * time.Second // beyond the longest deadline nothing is left
+	// readyWithin is how long a broker without a list waits for one before it takes
+	// clients all the same: the platform sends them after 30 s, ready or not, and a
+	// refusal at once, with a time to come back, is more than a closed door.
+	readyWithin = 15 * time.Second
 )
 
 // Daemon is one broker that runs.
@@ -191,11 +195,16 @@
 		d.wg.Add(1)
 		go func() {
 			defer d.wg.Done()
+			late := time.NewTimer(readyWithin)
+			defer late.Stop()
 			select {
 			case <-d.known:
-				d.front.SetReady(true)
+			case <-late.C:
+				log.Warn().Str("event", "no-list").Dur("after", readyWithin).Msg("no list of nodes has come; clients are taken and refused")
 			case <-wait.Done():
+				return
 			}
+			d.front.SetReady(true)
 		}()
 	}
 	d.wg.Add(1)
--- a/daemon/rules_test.go
+++ b/daemon/rules_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -462,3 +463,33 @@
 		t.Error(err)
 	}
 }
+
+// After load nothing is left of it: goroutines, connections to nodes and the tables
+// of queries come back to what they were, also where a node has answered nothing.
+func TestLoadLeavesNothing(t *testing.T) {
+	each(t, 4, nil, func(t *testing.T, r *rig) {
+		ask := func(n int, end string) {
+			r.nodes[3].Always(end)
+			var wg sync.WaitGroup
+			for range n {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six, Within: 500 * time.Millisecond})
+				}()
+			}
+			wg.Wait()
+			http.DefaultClient.CloseIdleConnections()
+		}
+		ask(4, testkit.Done)
+		calm := runtime.NumGoroutine() + 16 // of the stand-ins' and the clients' connections
+		for range 4 {
+			ask(40, testkit.Silent)
+		}
+		ask(4, testkit.Done)
+		testkit.Eventually(t, "the goroutines end", func() bool {
+			http.DefaultClient.CloseIdleConnections()
+			return runtime.NumGoroutine() <= calm && r.d.Stats().Open == 0
+		})
+	})
+}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -1,8 +1,12 @@
 package discovery
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -147,6 +151,54 @@
 	<-ended
 }
 
+// A list may come indented, in chunks of any size, and be megabytes long.
+func TestLongListInPieces(t *testing.T) {
+	const nodes = 1024
+	all := make([]testkit.Entry, nodes)
+	for i := range all {
+		all[i] = testkit.Entry{ID: fmt.Sprintf("s-%d", i), Addr: "127.0.0.1:9", Zone: "neihu", State: "in_service", Kind: strings.Repeat("k", 2000)}
+	}
+	text, err := json.MarshalIndent(map[string]any{"version": 7, "full": true, "servers": all}, "", "        ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		w := bufio.NewWriterSize(conn, 1000) // splits chunks and their size lines anywhere
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for rest, size := text, 1; len(rest) > 0; size = size%257 + 1 {
+			n := min(size, len(rest))
+			fmt.Fprintf(w, "%x\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+		_ = w.Flush() // the client may have gone
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	got := make(chan broker.Roster, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		New(Options{Addr: l.Addr().String(), Zones: []string{"neihu"}, Log: zerolog.New(io.Discard),
+			Deliver: func(r broker.Roster) { got <- r }}).Run(ctx)
+	}()
+	if r := <-got; len(text) < 2<<20 || r.Version != 7 || len(r.Nodes) != nodes || r.Nodes[nodes-1].ID != "s-1023" {
+		t.Errorf("of %d bytes: version %d, %d nodes", len(text), r.Version, len(r.Nodes))
+	}
+	cancel()
+	<-ended
+}
+
 // A broker that starts with a list in hand asks for what is newer alone: whole
 // lists for all that restart together would keep discovery busy for seconds.
 func TestCarriesOnFromKnown(t *testing.T) {
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -58,7 +58,9 @@
 	calls   []string
 	faults  []string
 	hush    bool
-	silent  map[*http.Request]bool // watches that will never be answered
+	// replaced is the version that took the place of the whole list.
+	replaced int
+	silent   map[*http.Request]bool // watches that will never be answered
 }
 
 // NewDiscovery starts discovery with a list.
@@ -99,8 +101,9 @@
 		}
 		d.mu.Lock()
 	}
-	out := map[string]any{"version": d.version, "full": after == "", "servers": d.list}
-	if after != "" {
+	full := after == "" || seen < d.replaced
+	out := map[string]any{"version": d.version, "full": full, "servers": d.list}
+	if !full {
 		out["servers"] = d.logged[seen+1:]
 	}
 	version, fault := d.version, ""
@@ -192,6 +195,17 @@
 	return d.version
 }
 
+// Replace tells a whole new list.
+func (d *Discovery) Replace(list []Entry) (version int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	d.list, d.logged, d.replaced = list, append(d.logged, Entry{}), d.version
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return d.version
+}
+
 // Told says when a version was written to a broker.
 func (d *Discovery) Told(version int) time.Time {
 	d.mu.Lock()
