--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -145,6 +145,37 @@
 	p.stop(t)
 }
 
+// With next to nothing to work with the program still starts, serves and keeps to it.
+func TestSmallestLimits(t *testing.T) {
+	var nodes []testkit.Entry
+	for i := range 16 {
+		e := testkit.NewNode(t, fmt.Sprintf("s-%02d", i), false).Entry()
+		e.Started = 1
+		nodes = append(nodes, e)
+	}
+	d := testkit.NewDiscovery(t, nodes...)
+	const sockets = 40
+	listen := freeAddr(t)
+	p := start(t, testkit.Config(d.Addr, nodes, testkit.Settings(nil), map[string]any{
+		"limits": map[string]any{"cores": 0.01, "memory_mb": 8, "sockets": sockets},
+	}), listen)
+	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
+	for range 2 * sockets { // more than it may hold, and they say nothing
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	for i := range 40 {
+		serves(t, listen, fmt.Sprint("a", i), i%18, (i+5)%18, (i+9)%18)
+		if threads, _, fds := p.numbers(t); threads > maxThreads || fds > sockets {
+			t.Fatalf("%d threads, %d descriptors of %d", threads, fds, sockets)
+		}
+	}
+	p.stop(t)
+}
+
 // maxThreads bounds those of one broker: main, the runtime's monitor, two for signals,
 // the sockets' poller, the two that run Go code, and one for each blocking call that
 // can be out at once: the log's write and a file that is read.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,12 +32,20 @@
 
 const (
 	defaultSockets = 1024
-	maxWrite       = 512 << 10       // bytes that wait at one connection
-	drainWithin    = 8 * time.Second // beyond the longest deadline nothing is left
+	few            = 128 // descriptors
+	ownDescriptors = 16  // standard streams, pollers, listeners, discovery, one that changes hands
+	// leastHeap is the least that the collector is told to keep to: under it the
+	// program's own tables would keep it at work without end.
+	leastHeap   = 16 << 20
+	maxWrite    = 512 << 10       // bytes that wait at one connection
+	drainWithin = 8 * time.Second // beyond the longest deadline nothing is left
 	// readyWithin is how long a broker without a list waits for one before it takes
 	// clients all the same: the platform sends them after 30 s, ready or not, and a
 	// refusal at once, with a time to come back, is more than a closed door.
 	readyWithin = 15 * time.Second
+	// toldWithin is when news of the list counts as told, whether it came or not
+	// (PROTOCOL, "Figures"): no broker of a large fleet may wait for its turn longer.
+	toldWithin = 6 * time.Second
 )
 
 // Daemon is one broker that runs.
@@ -73,7 +81,7 @@
 	// one the core would wait until the scheduler takes its place back.
 	runtime.GOMAXPROCS(max(2, int(l.Cores+0.5)))
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 7 / 10)
+		debug.SetMemoryLimit(max(leastHeap, int64(l.MemoryMB)<<20*7/10))
 	}
 	debug.SetGCPercent(400) // the live heap is small beside the limit
 }
@@ -83,6 +91,9 @@
 // for discovery, the log and connections that change hands. Without a Flight front
 // its share goes to the clients; what a long list needs comes out of theirs.
 func shares(sockets int, flight bool, known *discovery.List) (clients, frames int) {
+	if sockets < few { // the program's own, some twelve, are no longer a small share
+		sockets = max(4, sockets-ownDescriptors)
+	}
 	clients, frames = sockets/2, sockets*5/16
 	if flight {
 		clients = sockets * 3 / 8
@@ -241,10 +252,13 @@
 	if d.cfg.Settings.AskForList {
 		brokers = d.cfg.Settings.Roots
 	}
+	silence := time.Duration(d.cfg.Settings.AskWithinMs / 2 * float64(time.Millisecond))
+	if silence <= 0 {
+		silence = toldWithin / 2
+	}
 	client := discovery.New(discovery.Options{
 		Addr: addr, Zones: d.cfg.Zones, Kinds: d.cfg.Kinds, Log: d.log, Deliver: d.seen.source(),
-		Known: known, Brokers: brokers, Seed: d.cfg.Seed,
-		Silence: time.Duration(d.cfg.Settings.AskWithinMs / 2 * float64(time.Millisecond)),
+		Known: known, Brokers: brokers, Seed: d.cfg.Seed, Silence: silence,
 	})
 	d.wg.Add(1)
 	go func() {
