End connections in the making when the node client closes, however long their time-out

Cause, found in a look for waits without a deadline: a dial ran under context.Background() and `caps.connectTimeoutMs` alone, and Close waits for it; told a long time-out, a stop took as long as the system keeps trying. Change: dials end with the client. Test: TestCloseEndsConnectionsInTheMaking, a listener whose queue is full and a time-out of an hour (never ends without the change).

--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -4,6 +4,7 @@
 package nodeclient
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -62,8 +63,9 @@
 // Client implements broker.NodeClient.
 type Client struct {
 	opts  Options
-	paths *dial.Paths // to nodes of several addresses
-	stop  chan struct{}
+	paths *dial.Paths     // to nodes of several addresses
+	ctx   context.Context // of the sweep, and of connections in the making
+	end   context.CancelFunc
 	done  sync.WaitGroup
 
 	mu    sync.Mutex
@@ -134,9 +136,10 @@
 		o.ConnectTimeout = 250 * time.Millisecond
 	}
 	c := &Client{
-		opts: o, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{}, stop: make(chan struct{}),
+		opts: o, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{},
 		paths: dial.New(o.ConnectTimeout, o.MaxConns, o.Log),
 	}
+	c.ctx, c.end = context.WithCancel(context.Background())
 	c.done.Add(1)
 	go c.sweep()
 	return c
@@ -152,7 +155,7 @@
 	}
 	c.mu.Unlock()
 	c.paths.Close()
-	close(c.stop)
+	c.end()
 	for _, cn := range all {
 		cn.fail()
 	}
@@ -708,7 +711,7 @@
 	defer tick.Stop()
 	for {
 		select {
-		case <-c.stop:
+		case <-c.ctx.Done():
 			return
 		case now := <-tick.C:
 			c.mu.Lock()
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/binary"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"reflect"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -269,6 +272,56 @@
 	})
 }
 
+// A connection that never comes up, with a time-out as long as the settings like,
+// holds up no stop.
+func TestCloseEndsConnectionsInTheMaking(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for i := 0; ; i++ { // nobody accepts: once the queue is full the next ones hang
+		conn, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer conn.Close()
+		if i > 64 {
+			t.Skip("this system's queue of connections has no end")
+		}
+	}
+	loop, err := netio.New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	c := New(Options{Loop: loop, Sink: &sink{got: map[broker.AttemptID]decide.Outcome{}}, ConnectTimeout: time.Hour, MaxConns: 4,
+		Log: zerolog.New(io.Discard)})
+	c.Update([]broker.Node{{ID: "n", Addr: addr}})
+	c.send("n", attempt(1))
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		c.Close()
+	}()
+	testkit.Eventually(t, "the client closes", func() bool {
+		select {
+		case <-closed:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // A spoilt answer ends its connection at once. Each part on it has its one
 // outcome, all of which may have run, and only one counts as the node's fault.
 func TestSpoiltAnswers(t *testing.T) {
--- a/nodeclient/race.go
+++ b/nodeclient/race.go
@@ -1,7 +1,6 @@
 package nodeclient
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -49,7 +48,7 @@
 	c.done.Add(1)
 	go func() {
 		defer c.done.Done()
-		nc, addr, err := c.paths.Run(context.Background(), r)
+		nc, addr, err := c.paths.Run(c.ctx, r)
 		if err != nil {
 			cn.fail()
 			return
@@ -113,14 +112,14 @@
 	var err error
 	if several {
 		var addr string
-		if nc, addr, err = c.paths.Dial(context.Background(), cn.node.id); err == nil {
+		if nc, addr, err = c.paths.Dial(c.ctx, cn.node.id); err == nil {
 			c.mu.Lock()
 			cn.addr = addr
 			c.mu.Unlock()
 		}
 	} else {
 		d := net.Dialer{Timeout: c.opts.ConnectTimeout, KeepAlive: -1}
-		nc, err = d.DialContext(context.Background(), "tcp", cn.addr)
+		nc, err = d.DialContext(c.ctx, "tcp", cn.addr)
 	}
 	if err != nil {
 		return nil, err
