Test SIGHUP after SIGHUP and SIGTERM under load: no query lost, none failed

Thirty reloads that move discovery, four clients that ask without pause; then SIGTERM: every query is served whole until clients find the door closed, and the program exits with 0.

--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -9,6 +9,8 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -277,6 +279,68 @@
 	p.stop(t)
 }
 
+// Under load SIGHUP after SIGHUP, each with another discovery, costs no query; SIGTERM
+// costs none that was taken: after it clients find a closed door at worst.
+func TestSignalsUnderLoad(t *testing.T) {
+	n := testkit.NewNode(t, "s-1", false)
+	n.Work(func(testkit.Call) string { time.Sleep(5 * time.Millisecond); return testkit.Done })
+	entry := n.Entry()
+	entry.Started = 1
+	files := make([][]byte, 2)
+	for i := range files {
+		files[i] = testkit.Config(testkit.NewDiscovery(t, entry).Addr, []testkit.Entry{entry}, testkit.Settings(nil), map[string]any{"hand_over_ms": 300})
+	}
+	listen := freeAddr(t)
+	p := start(t, files[0], listen)
+	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
+	var told atomic.Bool
+	var served, closed atomic.Int64
+	var clients sync.WaitGroup
+	over := make(chan struct{})
+	for c := range 4 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				after := told.Load()
+				q := testkit.Query{Class: "screen", ID: fmt.Sprintf("c%d-%d", c, i), Shards: []int{1, 2, 3}, Within: 10 * time.Second}
+				switch got := testkit.AskHTTP(context.Background(), listen, q); {
+				case got.Kind == "served" && got.Whole:
+					served.Add(1)
+				case got.Kind == "none" && (after || told.Load()):
+					closed.Add(1)
+					return
+				default:
+					t.Errorf("%s, told to stop %v: got %+v", q.ID, after, got)
+					return
+				}
+			}
+		}()
+	}
+	for i := range 30 {
+		if err := os.WriteFile(p.file, files[i%2], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		before := served.Load()
+		testkit.Eventually(t, "queries are served", func() bool { return served.Load() >= before+8 || t.Failed() })
+	}
+	told.Store(true)
+	p.stop(t)
+	close(over)
+	clients.Wait()
+	if served.Load() < 240 || closed.Load() == 0 && !t.Failed() {
+		t.Errorf("%d served, %d clients found the door closed", served.Load(), closed.Load())
+	}
+}
+
 // Without any list a broker takes clients after a while all the same, and turns them
 // away at once.
 func TestNoListEver(t *testing.T) {
