Fuzz the configuration, the list, HTTP messages and frames, in search of a rare panic

Need: a panic in a parser ends a broker at its start, at a reload or on a spoilt answer, and none of these four had a fuzz target. HTTP messages are also held to read the same whole and byte by byte.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -157,3 +157,18 @@
 		}
 	}
 }
+
+// Whatever the file holds, it is read or refused by a field's name, and never more
+// than that: a panic would stop every broker's start, or end all at a reload.
+func FuzzParse(f *testing.F) {
+	n := testkit.Entry{ID: "a", Addr: "127.0.0.1:9", Zone: "banqiao", Kind: "std-2c", State: "in_service", Weight: 1}
+	f.Add(testkit.Config("127.0.0.1:1", []testkit.Entry{n}, testkit.Settings(nil), map[string]any{"console": 1}))
+	f.Add([]byte(`{"name":"n","listen":"a:1","discovery":"b:2","seed":[],"limits":{"sockets":1e300},"settings":{"classes":[{"name":"x"},3]}}`))
+	f.Add([]byte(`{"settings":{"classes":{"count":5},"zones":[1,{}],"tenants":[[],{}]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := Parse(data, none)
+		if err == nil && (c.Name == "" || len(c.Classes) != len(c.Settings.Classes) || c.Limits.Sockets < 0 || c.Limits.MemoryMB < 0) {
+			t.Errorf("%q: got %+v", data, c)
+		}
+	})
+}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -225,3 +225,20 @@
 		t.Errorf("calls %q", calls)
 	}
 }
+
+// A list is read whole or refused: each node has what the broker goes by.
+func FuzzParseList(f *testing.F) {
+	f.Add([]byte(`{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","addrs":["unix:/n",7],"zone":"z","state":"in_service","weight":1e300,"started_ms":1e300}]}`))
+	f.Add([]byte(`{"version":1,"full":false,"servers":[{"id":"a","state":"terminated","cell":-9223372036854775808}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := ParseList(data, []string{"z"}, nil)
+		if err != nil {
+			return
+		}
+		for _, n := range l.Nodes {
+			if n.ID == "" || n.Kind < 0 || n.Addr == "" && n.State != decide.Gone {
+				t.Errorf("%q: got %+v", data, n)
+			}
+		}
+	})
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -94,3 +95,43 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// A stream is read the same whole and byte by byte, and within its bounds.
+func FuzzParser(f *testing.F) {
+	f.Add([]byte("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.0\n\n"), false)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nT: 1\r\n\r\n"), true)
+	f.Add([]byte("\r\nHTTP/1.0 204 \r\n\r\nHTTP/1.1 200\r\n\r\nrest"), true)
+	f.Fuzz(func(t *testing.T, data []byte, answers bool) {
+		read := func(step int) (all []Message, failed error) {
+			p := Parser{MaxBody: 1 << 10, Answers: answers}
+			for rest := data; ; {
+				n := min(step, len(rest))
+				p.Feed(rest[:n])
+				rest = rest[n:]
+				for {
+					m, err := p.Next()
+					if err != nil {
+						return all, err
+					}
+					if m == nil {
+						break
+					}
+					all = append(all, *m)
+				}
+				if len(rest) == 0 {
+					return all, nil
+				}
+			}
+		}
+		whole, err1 := read(max(1, len(data)))
+		single, err2 := read(1)
+		if !reflect.DeepEqual(whole, single) || (err1 == nil) != (err2 == nil) {
+			t.Errorf("%q: whole %v %v, byte by byte %v %v", data, whole, err1, single, err2)
+		}
+		for _, m := range whole {
+			if len(m.Body) > 1<<10 || len(m.Headers) > MaxHeaders {
+				t.Errorf("%q: %d bytes, %d headers", data, len(m.Body), len(m.Headers))
+			}
+		}
+	})
+}
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rs/zerolog"
 
@@ -461,3 +462,25 @@
 	}
 	n.Wait(t, "all parts", func() bool { return len(n.Calls()) == 8 })
 }
+
+// Whatever a node sends, each frame is whole and within its bounds, and a result has
+// an id and a value that can stand in a JSON text.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte(testkit.Frame('R', "q.2 done 1 -\nv") + testkit.Frame('H', "done") + testkit.Frame('F', "no")))
+	f.Add([]byte("\x00\x00\x00\xffRq.2 done 1 -\nv"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for {
+			letter, rest, n, err := nextFrame(data)
+			if err != nil || n == 0 {
+				return
+			}
+			if n != len(rest)+5 || n > 4+maxFrame {
+				t.Fatalf("%q: a frame of %d bytes with %d in it", data, n, len(rest))
+			}
+			if r, err := parseResult(rest); letter == 'R' && err == nil && (r.id == "" || len(r.value) > maxValue || !utf8.Valid(r.value)) {
+				t.Fatalf("%q: got %+v", rest, r)
+			}
+			data = data[n:]
+		}
+	})
+}
