Stay with warm nodes that a connection is open to, by the told price of a handshake

A broker sends a part to a set of four nodes every few seconds and went to the one of lowest latency, which is any it has not met: it met each once, knew none, and the module did not read `penalties.handshake`.

Change: a warm node not heard of is dearer by 20 times that price, as one of another zone is by the price of leaving it (score; the constant is now called priceCare).

--- a/decide/api.go
+++ b/decide/api.go
@@ -86,9 +86,10 @@
 	ExtraShare  float64 // further attempts earned by a query or part taken in
 	ExtraSpanMs float64 // the window over which both are counted
 
-	PriceCross float64 // price of a part that crosses zones
-	PriceProbe float64 // price of a probe a part
-	PriceWaste float64 // price of wasted work
+	PriceCross     float64 // price of a part that crosses zones
+	PriceHandshake float64 // price of a new connection, for each part
+	PriceProbe     float64 // price of a probe a part
+	PriceWaste     float64 // price of wasted work
 }
 
 // Names of the values in a load report.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,7 +28,7 @@
 	rareMost = 0.4  // weight of one answer where they are rare: what it tells is old before eight have come
 	rareFrom = 1    // they are where this share of news has faded between two sends
 
-	zoneCare  = 20   // latency we would pay to stay in our zone, for each unit of the told price of leaving it
+	priceCare = 20   // latency we would pay for each unit of a told price, of another zone or a new connection
 	silent    = 5.0  // answers overdue by this many typical latencies make a replica suspect or slow
 	overdue   = 1.5  // a part this many typical latencies old at a suspect replica is tried elsewhere
 	blame     = 0.35 // how far one failure moves the evidence towards certainty
@@ -568,7 +568,10 @@
 func (r *Root) score(h *replica) float64 {
 	score := max(h.level, 1e-3) * r.calls(h) * (1 + 1e-6*r.rng.Float64()) // random among equals
 	if h.Zone != r.s.Zone {
-		score *= 1 + zoneCare*r.s.PriceCross
+		score *= 1 + priceCare*r.s.PriceCross
+	}
+	if !h.heard && !r.cold(h) { // most likely a connection has to be made; cold ones are spared anyway
+		score *= 1 + priceCare*r.s.PriceHandshake
 	}
 	return score
 }
@@ -781,8 +784,7 @@
 	}
 	for _, p := range q.parts {
 		if h := p.first; h != nil {
-			h.out = h.out[:len(h.out)-1]
-			h.mayTake++
+			h.out, h.mayTake = h.out[:len(h.out)-1], h.mayTake+1
 		}
 	}
 	slices.Sort(times)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -158,6 +158,7 @@
 		ExtraSpanMs:     p.num("safety.ratioSpanMs", 0),
 		PriceCross:      p.num("penalties.crossZone", 0),
 		PriceProbe:      p.num("penalties.probe", 0),
+		PriceHandshake:  p.num("penalties.handshake", 0),
 		PriceWaste:      p.num("penalties.waste", 0),
 	}
 	if v := p.m["report.fields"]; v != "" {
