--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -499,6 +499,33 @@
 	}
 }
 
+// Each connection has a told price: roots that meet a set seldom stay with what they know
+// of it, for half the connections, and together load all nodes alike all the same.
+func TestPricedConnectionsAreFew(t *testing.T) {
+	pairs := func(price float64) (made int, most float64) {
+		s := large(40, 15)
+		s.PriceHandshake = price
+		f := newFleet(t, s, members(60, 15))
+		f.node = func(int, Addr) (Outcome, float64) { return OK, 15 + 10*f.rng.Float64() }
+		f.load(1, 12, 8000)
+		met, byNode := map[[2]uint64]bool{}, map[Addr]float64{}
+		for _, x := range f.sends {
+			met[[2]uint64{uint64(x.root), uint64(x.to)}] = true
+			byNode[x.to] += 60 / float64(len(f.sends))
+		}
+		for _, share := range byNode {
+			most = max(most, share)
+		}
+		return len(met), most
+	}
+	free, _ := pairs(0)
+	priced, most := pairs(0.08)
+	if float64(priced) > 0.7*float64(free) || most > 2 {
+		t.Errorf("%d connections where %d are made at no price; one node got %.2f of its share", priced, free, most)
+	}
+	t.Logf("%d connections, %d at no price; the most loaded node got %.2f of its share", priced, free, most)
+}
+
 // A release changes the list once a node: what each change costs must not grow with
 // nodes times sets.
 func BenchmarkListChange(b *testing.B) {
