--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -341,6 +341,23 @@
 	}
 }
 
+// A crash leaves its stack on standard error, past the lines that wait, and a status
+// that tells it from an end in order.
+func TestCrashLeavesItsStack(t *testing.T) {
+	n := testkit.NewNode(t, "s-1", false)
+	d := testkit.NewDiscovery(t, n.Entry())
+	listen := freeAddr(t)
+	p := start(t, testkit.Config(d.Addr, []testkit.Entry{n.Entry()}, testkit.Settings(nil), nil), listen)
+	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
+	if err := p.cmd.Process.Signal(syscall.SIGABRT); err != nil {
+		t.Fatal(err)
+	}
+	_ = p.cmd.Wait() // its status is looked at below
+	if code := p.cmd.ProcessState.ExitCode(); code != 2 || !strings.Contains(p.text(), "SIGABRT") || !strings.Contains(p.text(), "goroutine ") {
+		t.Errorf("status %d:\n%s", code, p.text())
+	}
+}
+
 // Without any list a broker takes clients after a while all the same, and turns them
 // away at once.
 func TestNoListEver(t *testing.T) {
