--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -55,20 +55,29 @@
 	return p.log.String()
 }
 
-// serve starts the program and returns where it listens.
-func serve(t *testing.T, cfg []byte, env ...string) (*process, string) {
+// launch runs the command with a configuration of its own; what it says is kept,
+// unless its output goes elsewhere already.
+func launch(t *testing.T, cmd *exec.Cmd, cfg []byte, env ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(program, "serve"), file: testkit.WriteFile(t, cfg)}
-	p.cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+p.file), env...)
-	p.cmd.Stderr, p.cmd.Stdout = p, p
-	if err := p.cmd.Start(); err != nil {
+	p := &process{cmd: cmd, file: testkit.WriteFile(t, cfg)}
+	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+p.file), env...)
+	if cmd.Stderr == nil {
+		cmd.Stderr, cmd.Stdout = p, p
+	}
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		_ = p.cmd.Process.Kill() // it has ended already where the test went well
-		_ = p.cmd.Wait()
+		_ = cmd.Process.Kill() // it has ended already where the test went well
+		_ = cmd.Wait()
 	})
-	addr := ""
+	return p
+}
+
+// serve starts the program and returns where it listens.
+func serve(t *testing.T, cfg []byte, env ...string) (*process, string) {
+	t.Helper()
+	p, addr := launch(t, exec.Command(program, "serve"), cfg, env...), ""
 	testkit.Eventually(t, "the program serves", func() bool {
 		for _, line := range strings.Split(p.text(), "\n") {
 			var l struct{ Event, Listen string }
--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -32,19 +32,11 @@
 	if _, _, errno := syscall.Syscall(syscall.SYS_FCNTL, w.Fd(), setSize, size); errno != 0 {
 		t.Fatal(errno)
 	}
-	p := &process{cmd: exec.Command(program, "serve"), file: testkit.WriteFile(t, cfg)}
-	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+p.file)
-	p.cmd.Stderr = w
 	listen := freeAddr(t)
-	p.cmd.Env = append(p.cmd.Env, "NODE_LISTEN="+listen)
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
+	cmd := exec.Command(program, "serve")
+	cmd.Stderr = w
+	p := launch(t, cmd, cfg, "NODE_LISTEN="+listen)
 	w.Close()
-	t.Cleanup(func() {
-		_ = p.cmd.Process.Kill()
-		_ = p.cmd.Wait()
-	})
 	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
 	for i := range 100 { // each is a line of the core's
 		e := n.Entry()
@@ -72,17 +64,7 @@
 	if !ok || !strings.Contains(line, "bin/gannetchute") {
 		t.Fatalf("no run line: %q", line)
 	}
-	p := &process{cmd: exec.Command("/bin/sh", "-c", strings.ReplaceAll(line, "bin/gannetchute", program)), file: testkit.WriteFile(t, cfg)}
-	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+p.file, "NODE_LISTEN="+listen)
-	p.cmd.Stderr, p.cmd.Stdout = p, p
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		_ = p.cmd.Process.Kill() // it has ended already where the test went well
-		_ = p.cmd.Wait()
-	})
-	return p
+	return launch(t, exec.Command("/bin/sh", "-c", strings.ReplaceAll(line, "bin/gannetchute", program)), cfg, "NODE_LISTEN="+listen)
 }
 
 func serves(t *testing.T, addr, id string, shards ...int) {
