Test the Flight client beyond its pool, and log want of room there once in ten seconds

Found on reading the change again: the Flight client's making of room had no test (it fails with the eviction taken out: part 2 at node 2, not sent), its log line came once a part, and the discovery tests repeated one start.

--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -121,20 +121,32 @@
 	}
 }
 
-// A watch that has fallen silent looks like one that has nothing to tell: it is given
-// up and opened anew soon, or the broker goes on with nodes that are long gone. It is
-// opened seldom where brokers share discovery's room.
-func TestSilentWatchIsOpenedAnew(t *testing.T) {
-	n := testkit.NewNode(t, "s-1", false)
-	d := testkit.NewDiscovery(t, n.Entry())
-	known, got := int64(1), make(chan broker.Roster, 8)
+// watched runs a client, from a version in hand where there is one, until the test ends.
+func watched(t *testing.T, addr string, known *int64) <-chan broker.Roster {
+	t.Helper()
+	got := make(chan broker.Roster, 8)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		New(Options{Addr: d.Addr, Zones: []string{"neihu"}, Known: &known, Log: zerolog.New(io.Discard),
+		New(Options{Addr: addr, Zones: []string{"neihu"}, Known: known, Log: zerolog.New(io.Discard),
 			Deliver: func(r broker.Roster) { got <- r }}).Run(ctx)
 	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return got
+}
+
+// A watch that has fallen silent looks like one that has nothing to tell: it is given
+// up and opened anew soon, or the broker goes on with nodes that are long gone. It is
+// opened seldom where brokers share discovery's room.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	n := testkit.NewNode(t, "s-1", false)
+	d := testkit.NewDiscovery(t, n.Entry())
+	known := int64(1)
+	got := watched(t, d.Addr, &known)
 	testkit.Eventually(t, "a watch", func() bool { return len(d.Calls()) > 0 })
 	d.Hush()
 	testkit.Eventually(t, "the watch is silent", func() bool { return d.Silent() > 0 })
@@ -147,8 +159,6 @@
 	if took := time.Since(began); r.Version != 2 || r.Nodes[0].State != decide.Draining || took > 5*time.Second {
 		t.Errorf("got %+v after %v", r, took)
 	}
-	cancel()
-	<-ended
 }
 
 // A list may come indented, in chunks of any size, and be megabytes long.
@@ -184,19 +194,10 @@
 		_ = w.Flush() // the client may have gone
 		_, _ = io.Copy(io.Discard, conn)
 	}()
-	got := make(chan broker.Roster, 1)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		New(Options{Addr: l.Addr().String(), Zones: []string{"neihu"}, Log: zerolog.New(io.Discard),
-			Deliver: func(r broker.Roster) { got <- r }}).Run(ctx)
-	}()
+	got := watched(t, l.Addr().String(), nil)
 	if r := <-got; len(text) < 2<<20 || r.Version != 7 || len(r.Nodes) != nodes || r.Nodes[nodes-1].ID != "s-1023" {
 		t.Errorf("of %d bytes: version %d, %d nodes", len(text), r.Version, len(r.Nodes))
 	}
-	cancel()
-	<-ended
 }
 
 // A broker that starts with a list in hand asks for what is newer alone: whole
@@ -207,17 +208,9 @@
 	e := n.Entry()
 	e.State = "terminating"
 	d.Change(e)
-	known, got := int64(1), make(chan broker.Roster, 1)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		New(Options{Addr: d.Addr, Zones: []string{"neihu"}, Known: &known, Log: zerolog.New(io.Discard),
-			Deliver: func(r broker.Roster) { got <- r }}).Run(ctx)
-	}()
+	known := int64(1)
+	got := watched(t, d.Addr, &known)
 	r := <-got
-	cancel()
-	<-ended
 	if r.Kind != decide.ListDelta || r.Version != 2 || len(r.Nodes) != 1 || r.Nodes[0].State != decide.Draining {
 		t.Errorf("got %+v", r)
 	}
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -36,6 +36,8 @@
 	maxValue  = 64 << 10
 	idleShare = 0.7
 	maxCalls  = 4096 // attempts out at once, over all nodes
+	// complainEvery is how often want of room is logged.
+	complainEvery = 10 * time.Second
 )
 
 // Options make a Client.
@@ -59,6 +61,7 @@
 	nodes map[string]*node
 	calls map[broker.AttemptID]context.CancelFunc
 	conns int
+	full  time.Time // when want of room was logged last
 	shut  bool
 }
 
@@ -240,8 +243,11 @@
 	}
 	if n.conn == nil {
 		if !c.room() {
-			c.opts.Log.Warn().Str("event", "pool-full").Str("node", id).Int("conns", c.conns).
-				Msg("no connection may be opened, and none is idle")
+			if now := time.Now(); now.Sub(c.full) >= complainEvery { // it would be a line a part
+				c.full = now
+				c.opts.Log.Warn().Str("event", "pool-full").Str("node", id).Int("conns", c.conns).
+					Msg("no connection may be opened, and none is idle")
+			}
 			return nil, decide.NotSent
 		}
 		options := []grpc.DialOption{
--- a/flightnode/client_test.go
+++ b/flightnode/client_test.go
@@ -135,3 +135,47 @@
 		t.Error("the part went to the old address")
 	}
 }
+
+// More nodes are listed than connections may be open: the one that has rested the
+// longest makes room. Where none rests the part is not sent, and its node is not blamed.
+func TestNodesBeyondThePool(t *testing.T) {
+	s := &sink{got: map[broker.AttemptID][]decide.Outcome{}}
+	c := New(Options{Sink: s, ConnectTimeout: time.Second, MaxConns: 2, Log: zerolog.New(io.Discard)})
+	defer c.Close()
+	var list []broker.Node
+	for i := range 5 {
+		n := testkit.NewNode(t, fmt.Sprint(i), true)
+		n.Work(func(call testkit.Call) string {
+			if call.Shard >= 100 {
+				return testkit.Silent
+			}
+			return testkit.Done
+		})
+		list = append(list, broker.Node{ID: n.ID, Addr: n.Addr})
+	}
+	c.Update(list)
+	send := func(node, shard int, want decide.Outcome) {
+		t.Helper()
+		id := broker.AttemptID(shard + 1)
+		c.Send(list[node].ID, []broker.Attempt{{ID: id, Query: "q", Shard: shard, Text: []byte("x"), Wait: 20 * time.Second}})
+		if shard >= 100 && want == decide.OK {
+			return // it stays out
+		}
+		testkit.Eventually(t, "the outcome", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.got[id]) == 1
+		})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.got[id][0] != want {
+			t.Errorf("part %d at node %d: outcome %d, want %d", shard, node, s.got[id][0], want)
+		}
+	}
+	for i := range 15 {
+		send(i%5, i, decide.OK)
+	}
+	send(0, 100, decide.OK)
+	send(1, 101, decide.OK)
+	send(2, 102, decide.NotSent)
+}
