Let few connects be in the system at once: 64 dials had made 59 threads

The node client ran a goroutine for each dial (nodeclient, dial). connect(2) is a call that the runtime takes for one that may block: where the system lets it wait (no processor, no memory yet), the runtime gives the processor to another thread, which runs the next dial, and so on; a thread once made stays.

Ruled out: memory and descriptors (8 MB, 76); one processor alone with nothing beside it, and twelve busy ones, show 8 to 10.

Change: netio.Dialer holds two connects in the system at once and lets go when connect has returned, so that silent addresses hold up nobody. One goroutine of the loop ends streams and tells of closed connections, in place of one each. Connections change hands one at a time.

On the way: the end of a stream and the look at what comes next used the descriptor's number after the connection had closed, and so could end the stream of the connection that got the number next: an answer lost. Both ask first now, under a lock.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -147,13 +147,14 @@
 		}
 		observer, wire = d.tracer, d.tracer
 	}
+	dialer := netio.NewDialer()
 	d.nodes = nodeclient.New(nodeclient.Options{
-		Loop: loop, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
+		Loop: loop, Dialer: dialer, Sink: s, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
 		ConnIdle: cfg.ConnIdle, MaxConns: frames, Observer: wire,
 		Probes: cfg.Settings.MayProbe, Log: log,
 	})
 	d.remote = flightnode.New(flightnode.Options{
-		Sink: s, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Observer: wire, Log: log,
+		Sink: s, Dialer: dialer, ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, MaxConns: sockets / 8, Observer: wire, Log: log,
 	})
 	d.core = broker.New(broker.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Log: log,
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"onyxsail/internal/address"
+	"onyxsail/internal/netio"
 	"onyxsail/reach"
 )
 
@@ -26,6 +27,7 @@
 // Paths are the ways to all nodes of several addresses. Its methods may be
 // called from any goroutine and, Dial apart, do not block.
 type Paths struct {
+	dialer  *netio.Dialer
 	timeout time.Duration
 	log     zerolog.Logger
 	start   time.Time
@@ -45,8 +47,8 @@
 
 // New returns paths to no node. timeout is that of a connection, over all its
 // addresses; conns is how many connections there may be in all.
-func New(timeout time.Duration, conns int, log zerolog.Logger) *Paths {
-	p := &Paths{timeout: timeout, log: log, start: time.Now(), planner: reach.New(reach.Defaults(conns)), nodes: map[string]*node{}}
+func New(d *netio.Dialer, timeout time.Duration, conns int, log zerolog.Logger) *Paths {
+	p := &Paths{dialer: d, timeout: timeout, log: log, start: time.Now(), planner: reach.New(reach.Defaults(conns)), nodes: map[string]*node{}}
 	p.ctx, p.end = context.WithCancel(context.Background())
 	return p
 }
@@ -223,8 +225,8 @@
 		if s.Dial != (address.Address{}) {
 			out++
 			go func() {
-				d, start := net.Dialer{KeepAlive: -1}, time.Now()
-				c, err := d.DialContext(ctx, s.Dial.Network(), s.Dial.Target)
+				start := time.Now()
+				c, err := p.dialer.Dial(ctx, s.Dial.Network(), s.Dial.Target)
 				results <- ended{s.Dial, c, err, time.Since(start)}
 			}()
 			continue
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -27,6 +27,7 @@
 	"onyxsail/decide"
 	"onyxsail/dial"
 	"onyxsail/internal/flightwire"
+	"onyxsail/internal/netio"
 	"onyxsail/internal/tracecontext"
 	"onyxsail/reach"
 )
@@ -44,6 +45,7 @@
 type Options struct {
 	Sink           broker.Sink
 	ConnectTimeout time.Duration
+	Dialer         *netio.Dialer // nil: one of its own
 	ConnIdle       time.Duration
 	MaxConns       int
 	Observer       broker.WireObserver // nil: nobody is told
@@ -81,7 +83,10 @@
 		o.ConnectTimeout = 250 * time.Millisecond
 	}
 	o.MaxConns = max(1, o.MaxConns)
-	return &Client{opts: o, paths: dial.New(o.ConnectTimeout, o.MaxConns, o.Log), nodes: map[string]*node{}, calls: map[broker.AttemptID]context.CancelFunc{}}
+	if o.Dialer == nil {
+		o.Dialer = netio.NewDialer()
+	}
+	return &Client{opts: o, paths: dial.New(o.Dialer, o.ConnectTimeout, o.MaxConns, o.Log), nodes: map[string]*node{}, calls: map[broker.AttemptID]context.CancelFunc{}}
 }
 
 // Close ends the client and waits for what it has out.
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -3,39 +3,47 @@
 package netio
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 )
 
 // Handler takes the events of one connection. Data comes from the engine's
-// goroutine, and b is valid during the call only; Closed comes once, from a
-// goroutine of its own, so that it may be caused by a Write of the handler's
-// under a lock.
+// goroutine, and b is valid during the call only; Closed comes once, from the
+// loop's hand, so that it may be caused by a Write of the handler's under a lock.
+// Neither may wait for anything but a lock: all connections wait behind it.
 type Handler interface {
 	Data(b []byte)
 	Closed(err error)
 }
 
-// Loop is one engine with one polling goroutine.
+// Loop is one engine with one polling goroutine, and one more for errands.
 type Loop struct {
 	engine *nbio.Engine
+	hand   *hand
 	// fence orders what Attach writes before what the engine's goroutine reads.
 	// The engine hands connections over through the kernel alone, which the Go
 	// memory model does not know.
 	fence atomic.Int64
+
+	taking sync.Mutex // held while a connection is taken over: one at a time, as with dials
 }
 
 // Conn is a connection on a Loop.
 type Conn struct {
+	l       *Loop
 	nc      *nbio.Conn
 	h       Handler
 	queued  atomic.Int64
 	written atomic.Int64
 	closed  atomic.Bool
+	using   sync.Mutex // the descriptor: held while it is used beside the engine
 	onFlush atomic.Pointer[func()]
 }
 
@@ -51,7 +59,7 @@
 // connection.
 func New(maxWrite int) (*Loop, error) {
 	logging.SetLevel(logging.LevelNone) // the engine's own lines bypass our log
-	l := &Loop{}
+	l := &Loop{hand: newHand()}
 	e := nbio.NewEngine(nbio.Config{
 		Name: "gannetchute", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxWrite,
 	})
@@ -61,20 +69,19 @@
 		}
 	})
 	e.OnClose(func(nc *nbio.Conn, err error) {
-		if c := l.conn(nc); c != nil && !c.closed.Swap(true) {
-			go c.h.Closed(err)
+		if c := l.conn(nc); c != nil && c.leave() {
+			l.hand.do(func() { c.h.Closed(err) })
 		}
 	})
 	e.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		if c := l.conn(nc); c != nil && n > 0 {
 			if done := c.written.Add(int64(n)); done >= c.queued.Load() {
-				if f := c.onFlush.Swap(nil); f != nil {
-					go (*f)()
-				}
+				c.flushed()
 			}
 		}
 	})
 	if err := e.Start(); err != nil {
+		l.hand.stop()
 		return nil, fmt.Errorf("starting the socket engine: %w", err)
 	}
 	l.engine = e
@@ -87,20 +94,26 @@
 	return c
 }
 
-// Stop ends the loop and closes its connections.
-func (l *Loop) Stop() { l.engine.Stop() }
+// Stop ends the loop and closes its connections; their handlers have been told when
+// it returns.
+func (l *Loop) Stop() {
+	l.engine.Stop()
+	l.hand.stop()
+}
 
 // Attach moves an open connection onto the loop. set, if not nil, is called
 // with the Conn before the first event can come; only after Attach has
 // returned, or from an event, may the Conn be written to. If Attach fails
 // after set, the handler's Closed still comes.
 func (l *Loop) Attach(conn net.Conn, h Handler, set func(*Conn)) (*Conn, error) {
+	l.taking.Lock()
+	defer l.taking.Unlock()
 	nc, err := nbio.NBConn(conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("taking over a connection: %w", err)
 	}
-	c := &Conn{nc: nc, h: h}
+	c := &Conn{l: l, nc: nc, h: h}
 	nc.SetSession(c)
 	if set != nil {
 		set(c)
@@ -133,33 +146,71 @@
 // Close closes the connection at once. The handler's Closed still comes.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
-// AfterFlush calls f from another goroutine once all that was queued has left.
+// AfterFlush calls f from the loop's hand once all that was queued has left.
 func (c *Conn) AfterFlush(f func()) {
 	c.onFlush.Store(&f)
 	if c.Backlog() <= 0 {
-		if f := c.onFlush.Swap(nil); f != nil {
-			go (*f)()
-		}
+		c.flushed()
+	}
+}
+
+func (c *Conn) flushed() {
+	if f := c.onFlush.Swap(nil); f != nil {
+		c.l.hand.do(*f)
 	}
 }
 
+// leave marks the connection as closed, once, before the engine closes its
+// descriptor: the next connection may get the same number.
+func (c *Conn) leave() bool {
+	c.using.Lock()
+	defer c.using.Unlock()
+	return !c.closed.Swap(true)
+}
+
+// control uses the descriptor where it still is the connection's own.
+func (c *Conn) control(f func(fd uintptr)) error {
+	c.using.Lock()
+	defer c.using.Unlock()
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
+	raw, err := c.nc.SyscallConn()
+	if err == nil {
+		err = raw.Control(f)
+	}
+	if err != nil {
+		return fmt.Errorf("reaching the socket: %w", err)
+	}
+	return nil
+}
+
 // CloseWrite ends our side of the stream and leaves the other open, so that
 // what was written last is not destroyed by a reset.
 func (c *Conn) CloseWrite() error {
-	raw, err := c.nc.SyscallConn()
-	if err != nil {
+	var failed error
+	if err := c.control(func(fd uintptr) { failed = syscall.Shutdown(int(fd), syscall.SHUT_WR) }); err != nil {
 		return err
 	}
-	return shutdownWrite(raw)
+	if failed != nil {
+		return fmt.Errorf("ending the stream: %w", failed)
+	}
+	return nil
 }
 
 // HungUp says whether the other side has ended its stream, or the connection is
 // broken, though the loop may not have read that yet. With bytes still to be
 // read before the end it says no.
 func (c *Conn) HungUp() bool {
-	raw, err := c.nc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	return peekEnd(raw)
+	ended := false
+	err := c.control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			ended = n == 0
+		case !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR):
+			ended = true
+		}
+	})
+	return ended || err != nil
 }
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -53,6 +53,7 @@
 	Sink           broker.Sink
 	StreamsPerConn int
 	ConnectTimeout time.Duration
+	Dialer         *netio.Dialer       // nil: one of its own
 	ConnIdle       time.Duration       // the servers'
 	MaxConns       int                 // over all nodes
 	Observer       broker.WireObserver // nil: nobody is told
@@ -135,9 +136,12 @@
 	if o.ConnectTimeout <= 0 {
 		o.ConnectTimeout = 250 * time.Millisecond
 	}
+	if o.Dialer == nil {
+		o.Dialer = netio.NewDialer()
+	}
 	c := &Client{
 		opts: o, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{},
-		paths: dial.New(o.ConnectTimeout, o.MaxConns, o.Log),
+		paths: dial.New(o.Dialer, o.ConnectTimeout, o.MaxConns, o.Log),
 	}
 	c.ctx, c.end = context.WithCancel(context.Background())
 	c.done.Add(1)
--- a/nodeclient/race.go
+++ b/nodeclient/race.go
@@ -1,6 +1,7 @@
 package nodeclient
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -118,8 +119,9 @@
 			c.mu.Unlock()
 		}
 	} else {
-		d := net.Dialer{Timeout: c.opts.ConnectTimeout, KeepAlive: -1}
-		nc, err = d.DialContext(c.ctx, "tcp", cn.addr)
+		ctx, cancel := context.WithTimeout(c.ctx, c.opts.ConnectTimeout)
+		defer cancel()
+		nc, err = c.opts.Dialer.Dial(ctx, "tcp", cn.addr)
 	}
 	if err != nil {
 		return nil, err
