Copy a hung part to a holder in doubt where all others are: it may be back

Cause: copies asked for a holder that is not in doubt. A root among many sends a doubted node next to nothing, so that a node that fell silent once stays in doubt for seconds after it is back; when the other holder of its set falls silent then, all holders are in doubt and the part waits for its query's end.

Change (copies): a stuck part goes to a doubted holder that has nothing else of ours out, is predicted sooner than the original's age, is not full and does not refuse connections. One part at such a node at a time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -205,10 +205,8 @@
 	for _, q := range r.open {
 		r.settle(q)
 	}
-	for _, q := range r.fresh {
-		if !q.ended {
-			r.admit(q)
-		}
+	for _, q := range slices.DeleteFunc(r.fresh, func(q *query) bool { return q.ended }) {
+		r.admit(q)
 	}
 	r.fresh = r.fresh[:0]
 	for _, q := range r.open { // tries after failures come before copies
@@ -720,6 +718,7 @@
 // copies gives each part still running, once all but q.left have answered, the design's one copy, where that
 // joins no load of ours and should take less than the original has. Parts at a replica silent, failing, slow
 // or delisted, or lost while half of the others answered, do not wait; where both hang, the older makes way.
+// Where all other holders are in doubt, a stuck part tries one that has nothing out: it may be back.
 func (r *Root) copies(q *query) {
 	forks := !q.idle() && !q.forked && q.left > 0 && len(q.parts)-q.answered <= q.left
 	q.forked = q.forked || forks
@@ -742,7 +741,8 @@
 		}
 		h := r.pick(p, false)
 		free := h != nil && len(h.out) == 0 && r.predict(h) < age
-		if h != nil && !r.doubted(h) && (free || stuck && h.level < silent*r.typical) {
+		last := stuck && free && r.now >= h.fullTill && !r.dead(h)
+		if last || h != nil && !r.doubted(h) && (free || stuck && h.level < silent*r.typical) {
 			if n == 2 { // two are out at most
 				r.stop(p, older)
 			}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -644,3 +644,27 @@
 		t.Errorf("%.0f parts to a cold replica, %.0f to a warm one, of which it can do %.2f to %.2f", cold, warm, least, most)
 	}
 }
+
+// Of the two holders of each shard one stands still for a second, then the other. A root
+// among many still doubts the first, which it sends next to nothing, when the second falls
+// silent: a part that hangs there must go to the one in doubt, which may be back, rather
+// than wait for the end of its query and lose it with all its siblings answered.
+func TestHungPartGoesToAHolderInDoubt(t *testing.T) {
+	f := newFleet(t, large(40, 15), members(30, 15))
+	f.node = func(int, Addr) (Outcome, float64) { return OK, 15 + 10*f.rng.Float64() }
+	f.load(2, 6, 5000)
+	begin := f.now
+	f.node = func(_ int, a Addr) (Outcome, float64) {
+		if turn := int(f.now-begin) / 1000; (int(a)-1)/15 == turn%2 && int(a-1)%15%5 == 0 {
+			return OK, 1e6
+		}
+		return OK, 15 + 10*f.rng.Float64()
+	}
+	from := f.now
+	f.load(2, 6, 8000)
+	f.run(f.now + 1500)
+	served, lost := f.served(from)
+	if late, all := f.late(from); lost > served/10 || late > all/10 {
+		t.Errorf("%d queries served, %d lost, %d of %d late", served, lost, late, all)
+	}
+}
