Begin no attempt past its window, its node's drain or its query's time

The drain guard was checked at the same moment.

The core tells until when an attempt may begin (Attempt.Latest) and until when work may begin at a node whose drain has been told (Node.Latest); both node clients look when the frame, or Flight's ticket, leaves. What is late then ends as not sent. What waits for a node that has left the list, or has moved, meanwhile ends as unreachable. The core refuses by itself to repeat an unsafe part that may have run. The drain guard is half of the settings' grace where that is less than 250 ms.

Found by reading beside it, both with tests: - broker.flush looked at the first attempt of a call alone: were it given up in the turn that sent it, the others were never sent, with their timers running, and one given up behind the first was sent after its Cancel. - A part given up while its connection was made, and sent again on the same one, left twice where its first call had other parts (nodeclient.write knew it by its id alone).

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +14,8 @@
 )
 
 // drainGuard is how long after its drain was told a node may still be sent
-// work by the core, whatever the module says. The module stops at once.
+// work, whatever the module says, or half of what the settings allow if that is
+// less: the frame has its way to go. The module stops at once.
 const drainGuard = 250 * time.Millisecond
 
 // forgetAfter is when a node that has left is forgotten: no attempt lives so
@@ -106,6 +108,8 @@
 	node string
 	sent time.Time
 	off  bool // given up: its outcome is on its way to the module
+	// unrun: its outcome proves that it never ran.
+	unrun bool
 }
 
 // New returns a core that Run starts.
@@ -312,6 +316,7 @@
 // ended gives the module the one outcome of an attempt.
 func (c *Core) ended(a *try, o decide.Outcome, by Cause, began, now time.Time) {
 	delete(c.tries, a.id)
+	a.unrun = o == decide.Rejected || o == decide.Unreachable || o == decide.NotSent
 	if c.opts.Observer != nil {
 		c.opts.Observer.Ended(a.id, o, by, began, now)
 	}
@@ -364,6 +369,9 @@
 	for addr, n := range c.nodes {
 		switch {
 		case n.State != decide.Gone:
+			if n.Latest = (time.Time{}); !n.left.IsZero() {
+				n.Latest = n.left.Add(c.drainGuard())
+			}
 			all = append(all, n.Node)
 		case now.Sub(n.left) > forgetAfter: // each release brings new ids: the old must not pile up
 			delete(c.names, n.ID)
@@ -375,6 +383,10 @@
 		Int("listed", len(all)).Msg("list of nodes changed")
 }
 
+func (c *Core) drainGuard() time.Duration {
+	return min(drainGuard, duration(c.opts.Settings.DrainMs/2))
+}
+
 func (n *node) depart(s decide.State, now time.Time) {
 	n.State = s
 	if n.left.IsZero() {
@@ -435,11 +447,12 @@
 		c.observe(t, n, a.Doubt, min(left, cmp.Or(duration(a.Ms), left)))
 	}
 	attempts := c.opts.Settings.MaxAttempts
+	latest := c.latest(t, now.Add(left))
 	switch {
-	case c.queries[q.id] != q, left <= 0, attempts > 0 && t.n >= attempts:
+	case c.queries[q.id] != q, !now.Before(latest), attempts > 0 && t.n >= attempts:
 		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.NotSent, ours: true})
 		return
-	case n == nil, !n.left.IsZero() && now.Sub(n.left) > drainGuard:
+	case n == nil, !n.left.IsZero() && now.Sub(n.left) > c.drainGuard():
 		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.Unreachable, ours: true})
 		return
 	}
@@ -451,10 +464,35 @@
 	c.stats.attempts.Add(1)
 	heap.Push(&c.timers, timer{at: now.Add(wait), try: t.id})
 	c.batch = append(c.batch, Attempt{
-		ID: t.id, Node: n.ID, Query: q.Name, Shard: p.shard, Key: q.Key, Text: q.Text, Wait: wait,
+		ID: t.id, Node: n.ID, Query: q.Name, Shard: p.shard, Key: q.Key, Text: q.Text, Wait: wait, Latest: latest,
 	})
 }
 
+// latest is until when an attempt may begin: within its query's time, and, where
+// an earlier one of its part may have run or may yet, within the time in which
+// the class allows a repeat. For a connection it may wait longer than that.
+func (c *Core) latest(t *try, end time.Time) time.Time {
+	q := t.part.q
+	if q.Class >= len(c.opts.Settings.Classes) {
+		return end
+	}
+	class := &c.opts.Settings.Classes[q.Class]
+	for _, earlier := range t.part.tries[:t.n] {
+		if earlier.unrun {
+			continue
+		}
+		switch class.Effect {
+		case decide.Unsafe:
+			return time.Time{}
+		case decide.Keyed:
+			if over := earlier.sent.Add(duration(class.WindowMs - c.opts.Settings.TickMs)); over.Before(end) {
+				return over
+			}
+		}
+	}
+	return end
+}
+
 // observe tells the observer of an attempt that is being opened.
 func (c *Core) observe(t *try, n *node, doubt bool, wait time.Duration) {
 	o := Opening{ID: t.id, Query: t.part.q.id, Shard: t.part.shard, N: t.n, Doubt: doubt, Wait: wait, At: t.sent}
@@ -479,23 +517,24 @@
 // calls of the settings' size.
 func (c *Core) flush() {
 	size := max(1, c.opts.Settings.BundleMax)
-	for i := range c.batch {
-		if c.batch[i].ID == 0 {
+	out := slices.DeleteFunc(c.batch, func(a Attempt) bool { // given up in the turn that sent it
+		t := c.tries[a.ID]
+		return t == nil || t.off
+	})
+	for i := range out {
+		if out[i].ID == 0 {
 			continue
 		}
-		calls := []Attempt{c.batch[i]}
-		for j := i + 1; j < len(c.batch) && len(calls) < size; j++ {
-			if c.batch[j].ID != 0 && c.batch[j].Node == c.batch[i].Node {
-				calls = append(calls, c.batch[j])
-				c.batch[j].ID = 0
+		calls := []Attempt{out[i]}
+		for j := i + 1; j < len(out) && len(calls) < size; j++ {
+			if out[j].ID != 0 && out[j].Node == out[i].Node {
+				calls = append(calls, out[j])
+				out[j].ID = 0
 			}
 		}
-		if t := c.tries[c.batch[i].ID]; t == nil || t.off {
-			continue
-		}
 		c.opts.Nodes.Send(calls[0].Node, calls)
 	}
-	clear(c.batch)
+	clear(out)
 	c.batch = c.batch[:0]
 }
 
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -231,3 +232,122 @@
 		t.Errorf("after the first had ended: %+v", <-second)
 	}
 }
+
+// What a turn sends and gives up again must take nothing with it: the other parts of
+// its call leave, and it does not, neither as the first of them nor as a later one.
+func TestCallWithoutThePartsThatAreGivenUp(t *testing.T) {
+	for _, off := range [][]int{{0}, {1}, {2}, {0, 1}, {0, 1, 2}} {
+		c, nodes := newCore(3)
+		c.opts.Settings.BundleMax = 4
+		c.turn()
+		now := time.Now()
+		want := map[AttemptID]bool{}
+		for i := range 3 {
+			q := ask()
+			q.Name = string(rune('a' + i))
+			c.take(input{id: QueryID(i + 1), query: q, replier: make(replies, 1)}, now)
+			c.send(&decide.Action{Kind: decide.Send, ID: c.queries[QueryID(i+1)].parts[0].id, Addr: 1}, now)
+			want[c.lastTry] = true
+		}
+		for _, i := range off {
+			q := c.queries[QueryID(i+1)]
+			delete(want, q.parts[0].tries[0].id)
+			c.drop(q, now)
+		}
+		c.flush()
+		got := map[AttemptID]bool{}
+		for _, a := range nodes.sent {
+			got[a.ID] = true
+		}
+		if !maps.Equal(got, want) || len(nodes.sent) != len(want) {
+			t.Errorf("%v given up: sent %v, want %v", off, got, want)
+		}
+	}
+}
+
+// Until when an attempt may begin is told with it, as it may wait for a connection
+// that long: within its query's time, and a repeat of what may have run within the
+// class's window from the first such attempt, or not at all.
+func TestAttemptsAreToldTheirLatestBeginning(t *testing.T) {
+	const window = 300 * time.Millisecond
+	for _, c := range []struct {
+		effect decide.Effect
+		first  decide.Outcome
+		want   time.Duration // after the first attempt; 0: as long as the query has time
+		never  bool
+	}{
+		{decide.Safe, decide.Broken, 0, false},
+		{decide.Keyed, decide.Broken, window - 5*time.Millisecond, false},
+		{decide.Keyed, decide.TimedOut, window - 5*time.Millisecond, false},
+		{decide.Keyed, decide.Unreachable, 0, false},
+		{decide.Keyed, decide.Rejected, 0, false},
+		{decide.Unsafe, decide.Rejected, 0, false},
+		{decide.Unsafe, decide.Broken, 0, true},
+	} {
+		core, _ := newCore(3)
+		class := &core.opts.Settings.Classes[0]
+		class.Effect, class.WindowMs = c.effect, float64(window.Milliseconds())
+		core.turn()
+		first := time.Now()
+		q := ask()
+		q.Came = first
+		core.take(input{id: 1, query: q, replier: make(replies, 1)}, first)
+		p := core.queries[1].parts[0]
+		send := decide.Action{Kind: decide.Send, ID: p.id, Addr: 1}
+		core.send(&send, first)
+		core.ended(p.tries[0], c.first, ByNode, time.Time{}, first)
+		core.batch = core.batch[:0]
+		core.queue.take()
+		core.send(&send, first.Add(window/2))
+		if c.never {
+			if in := core.queue.take(); len(core.batch) != 0 || len(in) != 1 || in[0].outcome != decide.NotSent {
+				t.Errorf("%+v: sent", c)
+			}
+			continue
+		}
+		want := first.Add(c.want)
+		if c.want == 0 {
+			want = first.Add(q.Budget)
+		}
+		if len(core.batch) != 1 || !core.batch[0].Latest.Equal(want) {
+			t.Errorf("%+v: %+v, want until %v", c, core.batch, want)
+		}
+		core.batch = core.batch[:0]
+		core.ended(p.tries[1], decide.Unreachable, ByNode, time.Time{}, first)
+		if core.send(&send, first.Add(window)); (len(core.batch) == 0) != (c.want != 0) {
+			t.Errorf("%+v: after the window: %+v", c, core.batch)
+		}
+	}
+}
+
+// heardNodes keeps the list that the node clients were told.
+type heardNodes struct {
+	*fakeNodes
+	list []Node
+}
+
+func (h *heardNodes) Update(list []Node) { h.list = list }
+
+// The node clients are told until when work may begin at a node whose drain has been
+// told, by the first telling, and never later than half of the grace.
+func TestDrainsAreToldWithTheirLatestBeginning(t *testing.T) {
+	for grace, guard := range map[float64]time.Duration{500: drainGuard, 1000: drainGuard, 100: 50 * time.Millisecond} {
+		c, nodes := newCore(3)
+		heard := &heardNodes{fakeNodes: nodes}
+		c.opts.Nodes, c.opts.Settings.DrainMs = heard, grace
+		now := time.Now()
+		c.roster(Roster{Kind: decide.ListFull, Nodes: []Node{{ID: "a", Addr: "x"}, {ID: "b", Addr: "y", State: decide.Draining}}}, now)
+		c.roster(Roster{Kind: decide.ListDelta, Nodes: []Node{{ID: "b", Addr: "y", State: decide.Draining}}}, now.Add(time.Second))
+		for _, n := range heard.list {
+			if want := now.Add(guard); n.ID == "a" && !n.Latest.IsZero() || n.ID == "b" && !n.Latest.Equal(want) {
+				t.Errorf("grace %v ms: %+v, told %v", grace, n, now)
+			}
+		}
+		c.roster(Roster{Kind: decide.ListDelta, Nodes: []Node{{ID: "b", Addr: "y"}}}, now.Add(2*time.Second))
+		for _, n := range heard.list {
+			if !n.Latest.IsZero() {
+				t.Errorf("grace %v ms, back in service: %+v", grace, n)
+			}
+		}
+	}
+}
--- a/broker/types.go
+++ b/broker/types.go
@@ -71,6 +71,11 @@
 	Reply(QueryID, Reply)
 }
 
+// Late says whether an attempt may not begin any more, itself or at its node.
+func (a *Attempt) Late(node, now time.Time) bool {
+	return !a.Latest.IsZero() && now.After(a.Latest) || !node.IsZero() && now.After(node)
+}
+
 // Attempt is one try of one part at one node.
 type Attempt struct {
 	ID    AttemptID
@@ -80,6 +85,9 @@
 	Key   string
 	Text  []byte
 	Wait  time.Duration // how long the core will wait
+	// Latest is until when it may begin: what still waits then for a connection
+	// ends as decide.NotSent. Zero: no bound.
+	Latest time.Time
 }
 
 // NodeClient carries attempts to nodes. Its methods are called from the core's
@@ -123,6 +131,9 @@
 	State   decide.State
 	Weight  float64
 	Started time.Time // zero: long ago
+	// Latest is until when an attempt may begin there, once the node's drain has
+	// been told. Zero: no bound.
+	Latest time.Time `json:"-"`
 }
 
 // Roster is news of the list of nodes.
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -73,6 +73,7 @@
 	out      int              // attempts and probes
 	rests    time.Time        // since when none is out
 	listed   bool
+	latest   time.Time              // until when attempts may begin; zero: no bound
 	several  bool                   // paths knows its addresses
 	at       atomic.Pointer[string] // of several, the address that its connection leads to
 }
@@ -129,7 +130,7 @@
 			c.hangUp(n)
 			n.addr = addr
 		}
-		n.listed = true
+		n.listed, n.latest = true, in.Latest
 		n.several = c.paths.Set(in.ID, in.Addrs)
 		if n.several { // what its connection leads to may have gone from the list
 			if at := n.at.Load(); at != nil && !c.paths.Has(in.ID, *at) {
@@ -155,7 +156,7 @@
 		n.at.Store(nil)
 		return n
 	}
-	fresh := &node{id: n.id, addr: n.addr, listed: n.listed, several: n.several}
+	fresh := &node{id: n.id, addr: n.addr, listed: n.listed, latest: n.latest, several: n.several}
 	c.nodes[n.id] = fresh
 	if n.out == 0 {
 		c.hangUp(n)
@@ -300,7 +301,7 @@
 		go func(conn *grpc.ClientConn) {
 			defer c.done.Done()
 			sent := time.Now()
-			outcome, answer, err := c.call(ctx, conn, a)
+			outcome, answer, err := c.call(ctx, conn, n, a)
 			cancel()
 			if err != nil {
 				c.opts.Log.Debug().Str("event", "attempt").Str("node", id).Err(err).Msg("an attempt was not served")
@@ -355,7 +356,7 @@
 
 // call makes one attempt. Until DoGet's stream is open nothing has run; from
 // then on only the node's own word, in the trailer, proves that it did not.
-func (c *Client) call(ctx context.Context, conn *grpc.ClientConn, a broker.Attempt) (decide.Outcome, broker.Answer, error) {
+func (c *Client) call(ctx context.Context, conn *grpc.ClientConn, n *node, a broker.Attempt) (decide.Outcome, broker.Answer, error) {
 	var answer broker.Answer
 	ticket, err := flightwire.Encode(flightwire.PartTicket{
 		ID: fmt.Sprintf("%s.%d", a.Query, a.Shard), Partition: a.Shard, WaitMs: max(1, a.Wait.Milliseconds()),
@@ -390,6 +391,10 @@
 	if err != nil {
 		return decide.Unreachable, answer, err
 	}
+	// It may have waited for the connection, and for the node to allow one more stream.
+	if latest, listed := c.latest(n); !listed || a.Late(latest, time.Now()) {
+		return decide.NotSent, answer, errLate
+	}
 	get := &answers{ClientStream: stream, began: &answer.Began}
 	if err = stream.SendMsg(ticket); err == nil {
 		err = stream.CloseSend()
@@ -411,6 +416,20 @@
 	return outcome(err, stream.Trailer()), answer, err
 }
 
+// errLate is the end of an attempt that came to its stream when it might not begin
+// any more.
+var errLate = errors.New("the time in which it might begin was over")
+
+// latest is until when attempts may begin at a node, and whether they may at all.
+func (c *Client) latest(n *node) (latest time.Time, listed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.nodes[n.id]; now != nil { // n, or what has taken its place
+		return now.latest, now.listed
+	}
+	return time.Time{}, false
+}
+
 // answers are the messages of one answer.
 type answers struct {
 	grpc.ClientStream
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -80,6 +80,7 @@
 type node struct {
 	id, addr string
 	listed   bool
+	latest   time.Time // until when attempts may begin; zero: no bound
 	conns    []*conn
 	several  bool // paths knows its addresses; else addr is its only one
 
@@ -180,7 +181,7 @@
 			n = &node{id: in.ID}
 			c.nodes[in.ID] = n
 		}
-		n.addr, n.listed = in.Addr, true
+		n.addr, n.listed, n.latest = in.Addr, true, in.Latest
 		n.several = c.paths.Set(in.ID, in.Addrs)
 	}
 	for id, n := range c.nodes {
@@ -394,6 +395,11 @@
 	if cn.trial && !cn.try() {
 		return
 	}
+	if !cn.leads() || !cn.node.listed { // nobody of the list may be there any more
+		cn.ours = true
+		sock.Close()
+		return
+	}
 	for range cn.probes {
 		if _, err := cn.sock.Write(appendProbe(nil)); err != nil {
 			return
@@ -412,19 +418,30 @@
 	}
 }
 
-// write queues one call. An error closes the socket, and its Closed then ends
-// the attempts by what had left.
+// write queues one call, but for those of its parts that may not begin any more.
+// An error closes the socket, and its Closed then ends the attempts by what had
+// left.
 func (cn *conn) write(calls []broker.Attempt) {
+	now := time.Now()
 	out := calls[:0:0]
 	for i := range calls {
-		if cn.calls[partID(&calls[i])] != nil { // else given up while it waited
-			out = append(out, calls[i])
+		id := partID(&calls[i])
+		cl := cn.calls[id]
+		if cl == nil || cl.ID != calls[i].ID { // given up while it waited
+			continue
+		}
+		if cl.Late(cn.node.latest, now) {
+			delete(cn.calls, id)
+			delete(cn.c.where, cl.ID)
+			cn.c.opts.Sink.Outcome(cl.ID, decide.NotSent, broker.Answer{})
+			continue
 		}
+		out = append(out, calls[i])
 	}
 	if len(out) == 0 {
 		return
 	}
-	cn.used = time.Now()
+	cn.used = now
 	frame := appendCall(nil, out)
 	end, err := cn.sock.Write(frame)
 	gone := cn.c.opts.Observer != nil && end <= cn.sock.Written()
