End client connections in order: no request, answer or accepted connection is cut off

Cause, by reading; each is forced by a test that holds the accepts or the reads: - A resting connection was closed outright (conn.shut), or marked as ending, while a request for it was waiting in the system or was read and on its way to the handler: it was dropped unanswered.

Change. netio marks a connection from before it is read until its handler has returned, and EndIfQuiet ends our side only where nothing is read, waits or is still to leave. The front ends what rests by that and closes it after the linger; it closes nothing over an unread answer for 5 s; at a stop it accepts until nothing waits and counts what is being taken; before a query goes to the core it looks whether the client has gone (poll with POLLRDHUP, which sees an end behind unread bytes). To make room 16 connections at most are ended before the first of them has closed. Connections are read until nothing is left.

--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -9,10 +9,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,12 +38,16 @@
 	idleLeast    = 2 * time.Second         // between requests, while connections are scarce
 	idleMost     = time.Minute             // and while they are not
 	lingerFor    = time.Second             // for the other side's end, after ours
+	unreadFor    = 5 * time.Second         // for the other side to read an answer
 	drainMid     = time.Second             // for a request that has begun, once draining
 	sweepEvery   = 100 * time.Millisecond
 	// youngest is how old a connection must be at least to make room for
 	// another: its first request may wait to be read.
 	youngest  = 100 * time.Millisecond
 	roomEvery = 5 * time.Millisecond // between looks for room, when there is none
+	// maxLeaving connections at most are ended to make room before the first of them has
+	// closed.
+	maxLeaving = 16
 )
 
 // state says what a connection is waited for.
@@ -76,11 +82,13 @@
 // Front accepts connections and serves them.
 type Front struct {
 	opts     Options
-	listener net.Listener
+	listener listener
 	slots    chan struct{} // one for each connection that may be open
 	ready    atomic.Bool
 	draining atomic.Bool
-	accepted sync.WaitGroup
+	closing  atomic.Bool   // the last connections are taken
+	taken    chan struct{} // closed once no more are
+	sweeping sync.WaitGroup
 	stop     chan struct{}
 
 	mu     sync.Mutex
@@ -96,14 +104,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
+	return serve(l.(*net.TCPListener), o), nil
+}
+
+// listener is a socket whose accepts may be given a deadline.
+type listener interface {
+	net.Listener
+	syscall.Conn
+	SetDeadline(time.Time) error
+}
+
+func serve(l listener, o Options) *Front {
 	f := &Front{
 		opts: o, listener: l, slots: make(chan struct{}, max(1, o.MaxConns)),
-		conns: map[*conn]struct{}{}, turned: map[int]int{}, stop: make(chan struct{}),
+		conns: map[*conn]struct{}{}, turned: map[int]int{}, stop: make(chan struct{}), taken: make(chan struct{}),
 	}
-	f.accepted.Add(2)
+	f.sweeping.Add(1)
 	go f.accept()
 	go f.sweep()
-	return f, nil
+	return f
 }
 
 // Addr is where the front listens.
@@ -113,17 +132,25 @@
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 func (f *Front) accept() {
-	defer f.accepted.Done()
+	defer close(f.taken)
 	for {
 		if !f.room() {
 			return
 		}
+		// Those that the system has taken for us would be reset with the socket.
+		if f.closing.Load() && !netio.Waiting(f.listener) {
+			return
+		}
 		nc, err := f.listener.Accept()
 		if err != nil {
 			<-f.slots
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) { // woken: the front is closing
+				_ = f.listener.SetDeadline(time.Time{}) // fails where it is closed: so will the accept
+				continue
+			}
 			f.opts.Log.Warn().Str("event", "accept").Err(err).Msg("a connection could not be accepted")
 			time.Sleep(10 * time.Millisecond) // out of descriptors: let some close
 			continue
@@ -169,37 +196,53 @@
 	}
 }
 
-// evict closes one connection that carries no request, if there is one.
+// evict ends one connection that carries no request, if there is one. Its place is
+// free when the client has closed it too, or has had time to.
 func (f *Front) evict() {
 	for _, v := range []struct {
 		state state
 		age   time.Duration
 	}{{leaving, youngest}, {silent, youngest}, {idle, idleLeast}, {reading, wholeWithin / 2}, {idle, youngest}} {
-		if c := f.longest(v.state, v.age); c != nil && c.shut(v.state) {
-			f.mu.Lock()
-			f.ousted[v.state]++
-			f.mu.Unlock()
+		if v.state != leaving && f.leave() >= maxLeaving {
 			return
 		}
+		for _, c := range f.longest(v.state, v.age) {
+			if c.over(v.state) {
+				f.mu.Lock()
+				f.ousted[v.state]++
+				f.mu.Unlock()
+				return
+			}
+		}
 	}
 }
 
-// longest returns the connection that has been in a state the longest, if that
-// is for some time.
-func (f *Front) longest(s state, atLeast time.Duration) *conn {
+// leave counts the connections that have been ended and are not closed yet.
+func (f *Front) leave() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.queues[leaving].Len()
+}
+
+// longest returns the connections that have been in a state for some time, the
+// longest first.
+func (f *Front) longest(s state, atLeast time.Duration) (all []*conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e := f.queues[s].Front(); e != nil {
-		if c := e.Value.(*conn); time.Since(c.entered) >= atLeast {
-			return c
+	now := time.Now()
+	for e := f.queues[s].Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if now.Sub(c.entered) < atLeast {
+			break
 		}
+		all = append(all, c)
 	}
-	return nil
+	return all
 }
 
 // sweep closes connections that have been waited for too long.
 func (f *Front) sweep() {
-	defer f.accepted.Done()
+	defer f.sweeping.Done()
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	told := time.Now()
@@ -259,12 +302,8 @@
 		spare = idleLeast
 	}
 	for s, most := range map[state]time.Duration{silent: silentFor, idle: spare, leaving: lingerFor, reading: wholeWithin} {
-		for c := f.longest(s, most); c != nil; c = f.longest(s, most) {
-			if s == reading {
-				c.fail(http.StatusRequestTimeout, "the request did not become whole")
-			} else {
-				c.shut(s)
-			}
+		for _, c := range f.longest(s, most) {
+			c.over(s)
 		}
 	}
 }
@@ -281,18 +320,23 @@
 
 // Drain ends the front without cutting off a request: /ready says no, answers
 // ask for the connection's end, and new connections are taken for window. Then
-// the socket closes, and Drain returns when no request is left and the
-// connections are closed, or when ctx ends.
+// those that the system has taken for the front come in, the socket closes, and Drain
+// returns when no request is left and the connections are closed, or when ctx ends.
 func (f *Front) Drain(ctx context.Context, window time.Duration) {
 	f.draining.Store(true)
 	sleep(ctx, window)
-	if err := f.listener.Close(); err != nil {
-		f.opts.Log.Warn().Str("event", "drain").Err(err).Msg("closing the listener")
-	}
-	close(f.stop)
+	f.closing.Store(true)
+	_ = f.listener.SetDeadline(time.Now()) // wakes the accept; fails where it is closed
+	taken := f.taken
 	for ctx.Err() == nil {
+		select {
+		case <-taken:
+			taken = nil
+			f.close()
+		default:
+		}
 		open := f.list()
-		if len(open) == 0 {
+		if taken == nil && len(open) == 0 {
 			break
 		}
 		for _, c := range open {
@@ -301,10 +345,21 @@
 		f.sweepOnce()
 		sleep(ctx, 10*time.Millisecond)
 	}
+	close(f.stop)
+	if taken != nil {
+		f.close()
+		<-f.taken
+	}
 	for _, c := range f.list() {
 		c.sock.Close()
 	}
-	f.accepted.Wait()
+	f.sweeping.Wait()
+}
+
+func (f *Front) close() {
+	if err := f.listener.Close(); err != nil {
+		f.opts.Log.Warn().Str("event", "drain").Err(err).Msg("closing the listener")
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -403,21 +458,25 @@
 	}
 }
 
-// place puts the connection where it belongs by what it is waited for; c.mu is
-// held.
-func (c *conn) place() {
-	now := idle
+// state is what the connection is waited for; c.mu is held.
+func (c *conn) state() state {
 	switch {
 	case c.ended:
-		now = leaving
+		return leaving
 	case len(c.slots) > 0:
-		now = busy
+		return busy
 	case c.parser.Mid():
-		now = reading
+		return reading
 	case !c.spoke:
-		now = silent
+		return silent
 	}
-	f := c.f
+	return idle
+}
+
+// place puts the connection where it belongs by what it is waited for; c.mu is
+// held.
+func (c *conn) place() {
+	f, now := c.f, c.state()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.in != nil {
@@ -427,27 +486,50 @@
 		f.queues[c.queue].Remove(c.in)
 		c.in = nil
 	}
-	if _, open := f.conns[c]; open {
+	if _, open := f.conns[c]; open && !c.closed {
 		c.in, c.queue, c.entered = f.queues[now].PushBack(c), now, time.Now()
 	}
 }
 
-// shut closes the connection at once if it is still in the given state.
-func (c *conn) shut(s state) bool {
+// over ends the connection if it is still in the given state, and says whether it
+// did. A request may come at any moment: a connection that rests is ended in
+// order, one that is waited for after its end is closed, and a request that has begun
+// is answered.
+func (c *conn) over(s state) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.f.mu.Lock()
-	still := c.in != nil && c.queue == s
-	if still { // found no second time, even before Closed has come
-		c.f.queues[s].Remove(c.in)
-		c.in = nil
+	defer c.place()
+	if c.state() != s || c.closed {
+		return false
 	}
-	c.f.mu.Unlock()
-	if still {
+	switch s {
+	case silent, idle:
+		return c.rest()
+	case reading:
+		c.reject(http.StatusRequestTimeout, "the request did not become whole")
+	case leaving:
+		if c.sock.Backlog() > 0 && time.Since(c.entered) < unreadFor {
+			return false
+		}
+		c.closed = true
+		c.sock.Close()
+	}
+	return true
+}
+
+// rest ends a connection that carries no request, unless one may have come. An answer
+// that the client does not read keeps it open for a while.
+func (c *conn) rest() bool {
+	if c.sock.EndIfQuiet() {
+		c.ending, c.ended = true, true
+		return true
+	}
+	if c.sock.Backlog() > 0 && time.Since(c.entered) > unreadFor {
 		c.ending, c.closed = true, true
 		c.sock.Close()
+		return true
 	}
-	return still
+	return false
 }
 
 // reject answers what cannot be read, after the answers before it, and ends
@@ -459,15 +541,6 @@
 	c.advance()
 }
 
-func (c *conn) fail(status int, why string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	defer c.place()
-	if !c.ending {
-		c.reject(status, why)
-	}
-}
-
 func (c *conn) serve(s *slot, m *http1.Message) {
 	if path, _, _ := strings.Cut(m.Target, "?"); path == "/ready" {
 		status, text := http.StatusOK, "ready"
@@ -492,6 +565,11 @@
 	if c.f.opts.Trace && m.Get(tracecontext.ParentKey) != "" {
 		q.Trace = tracecontext.Parse(m.All(tracecontext.ParentKey), strings.Join(m.All(tracecontext.StateKey), ","))
 	}
+	// It may have waited for us, behind others of its connection too, and its client have
+	// left: Closed comes, and the slot goes with it.
+	if c.sock.PeerGone() {
+		return
+	}
 	id, ok := c.f.opts.Core.Submit(q, c)
 	if !ok {
 		c.finish(s, func(last bool) []byte { return encodeReply(nil, broker.Reply{Verdict: broker.Refused}, last) })
@@ -562,10 +640,11 @@
 	defer c.mu.Unlock()
 	defer c.place()
 	switch {
-	case len(c.slots) > 0 || c.ending:
+	case len(c.slots) > 0 || c.ending || c.closed:
 	case !c.parser.Mid():
-		c.ending = true
-		c.end()
+		if c.spoke || time.Since(c.since) > youngest { // else its first request is on its way
+			c.rest()
+		}
 	case time.Since(c.since) > drainMid:
 		c.reject(http.StatusRequestTimeout, "the request did not become whole")
 	}
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -61,18 +61,26 @@
 
 func start(t *testing.T) (*Front, *fakeCore) {
 	t.Helper()
-	loop, err := netio.New(1 << 20)
+	f, core, _ := startAt(t, func(l listener) listener { return l })
+	return f, core
+}
+
+// startAt starts a front at a listener that the test has its hands on.
+func startAt(t *testing.T, wrap func(listener) listener) (*Front, *fakeCore, *netio.Loop) {
+	t.Helper()
+	loop, err := netio.New(64 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	core := &fakeCore{queries: map[broker.QueryID]*broker.Query{}, who: map[broker.QueryID]broker.Replier{}}
-	f, err := Listen("127.0.0.1:0", Options{
+	f := serve(wrap(l.(*net.TCPListener)), Options{
 		Core: core, Loop: loop, MaxConns: 8, Shards: 18, Log: zerolog.New(io.Discard),
 		Classes: map[string]query.Class{"screen": {Name: "screen"}, "edit": {Name: "edit", Index: 1, Keyed: true}},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	f.SetReady(true)
 	t.Cleanup(func() {
 		over, cancel := context.WithCancel(context.Background())
@@ -82,7 +90,7 @@
 		}
 		loop.Stop()
 	})
-	return f, core
+	return f, core, loop
 }
 
 func dial(t *testing.T, f *Front) (net.Conn, *bufio.Reader) {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -12,6 +12,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 // Handler takes the events of one connection. Data comes from the engine's
@@ -43,10 +44,20 @@
 	queued  atomic.Int64
 	written atomic.Int64
 	closed  atomic.Bool
-	using   sync.Mutex // the descriptor: held while it is used beside the engine
 	onFlush atomic.Pointer[func()]
+
+	using   sync.Mutex // held while the descriptor is used beside the engine
+	reading bool       // the engine reads, or the handler has yet to take what it has read
 }
 
+const (
+	readSize = 32 << 10
+	// readTimes is how often a connection is read at once. The engine closes one whose
+	// other side has ended after so many reads, whatever is still to be read: there
+	// must be more of them than the system holds for a connection.
+	readTimes = 1024
+)
+
 // maxDescriptor bounds the engine's table of connections, which goes by descriptor:
 // else it has room for all that the system would let the process open, two million
 // of them or 16 MB, however few the broker may hold. The kernel hands out the lowest
@@ -61,7 +72,19 @@
 	logging.SetLevel(logging.LevelNone) // the engine's own lines bypass our log
 	l := &Loop{hand: newHand()}
 	e := nbio.NewEngine(nbio.Config{
-		Name: "gannetchute", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: maxWrite,
+		Name: "gannetchute", NPoller: 1, ReadBufferSize: readSize, MaxConnReadTimesPerEventLoop: readTimes,
+		MaxWriteBufferSize: maxWrite,
+	})
+	e.OnReadBufferAlloc(func(nc *nbio.Conn) *[]byte {
+		if c := l.conn(nc); c != nil {
+			c.setReading(true)
+		}
+		return e.PollerBufferPtr(nc)
+	})
+	e.OnReadBufferFree(func(nc *nbio.Conn, _ *[]byte) {
+		if c := l.conn(nc); c != nil {
+			c.setReading(false)
+		}
 	})
 	e.OnData(func(nc *nbio.Conn, b []byte) {
 		if c := l.conn(nc); c != nil && !c.closed.Load() {
@@ -198,6 +221,56 @@
 	return nil
 }
 
+func (c *Conn) setReading(is bool) {
+	c.using.Lock()
+	defer c.using.Unlock()
+	c.reading = is
+}
+
+// EndIfQuiet ends our side of the stream as CloseWrite does, but not while the other
+// side may have said something that the handler does not know: bytes that wait, or are
+// being read. What is read after it has been sent too late. Nor does it while bytes of
+// ours wait to leave. It says whether it has.
+func (c *Conn) EndIfQuiet() bool {
+	ended := false
+	err := c.control(func(fd uintptr) {
+		if c.reading || c.Backlog() > 0 {
+			return
+		}
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.EAGAIN) { // else bytes wait, or the news of its end
+			ended = syscall.Shutdown(int(fd), syscall.SHUT_WR) == nil
+		}
+	})
+	return ended && err == nil
+}
+
+// PeerGone says whether the other side has ended its stream or the connection, also
+// where bytes that it has sent before are still to be read.
+func (c *Conn) PeerGone() bool {
+	gone := false
+	err := c.control(func(fd uintptr) { gone = shows(fd, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) })
+	return gone || err != nil
+}
+
+// Waiting says whether a connection that the system has taken waits to be accepted.
+func Waiting(l syscall.Conn) bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) { waits = shows(fd, unix.POLLIN) })
+	return waits && err == nil
+}
+
+// shows says whether a descriptor shows one of the events just now.
+func shows(fd uintptr, events int16) bool {
+	look := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	n, err := unix.Poll(look, 0)
+	return err == nil && n > 0 && look[0].Revents&events != 0
+}
+
 // HungUp says whether the other side has ended its stream, or the connection is
 // broken, though the loop may not have read that yet. With bytes still to be
 // read before the end it says no.
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -114,7 +116,20 @@
 // pair attaches one end of a new connection to the loop and returns the other too.
 func pair(t *testing.T, loop *Loop, l net.Listener) (*Conn, *ear, net.Conn) {
 	t.Helper()
-	c, err := net.Dial("tcp", l.Addr().String())
+	e := newEar()
+	conn, peer := pairOf(t, loop, l, e)
+	return conn, e, peer
+}
+
+// pairOf does so with a handler of the caller's.
+func pairOf(t *testing.T, loop *Loop, l net.Listener, h Handler) (*Conn, net.Conn) {
+	t.Helper()
+	// Room for more than a few reads, though the system may allow less than is asked for.
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		failed := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1<<20) })
+		return errors.Join(err, failed)
+	}}
+	c, err := d.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -122,12 +137,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := newEar()
-	conn, err := loop.Attach(c, e, nil)
+	conn, err := loop.Attach(c, h, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return conn, e, peer
+	return conn, peer
 }
 
 type ear struct {
@@ -208,3 +222,113 @@
 		}
 	}
 }
+
+// slow is a handler that keeps what it is given in hand until it is let go.
+type slow struct {
+	*ear
+	entered, gate chan struct{}
+}
+
+func (s *slow) Data(b []byte) {
+	s.entered <- struct{}{}
+	<-s.gate
+	s.ear.Data(b)
+}
+
+// Our side of a stream is not ended while the other side may have said something that the
+// handler does not know, nor while something of ours is still to leave.
+func TestEndIfQuiet(t *testing.T) {
+	loop, err := New(64 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	h := &slow{newEar(), make(chan struct{}, 8), make(chan struct{})}
+	conn, peer := pairOf(t, loop, l, h)
+	defer peer.Close()
+	say := func(text string) {
+		t.Helper()
+		if _, err := peer.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	say("a")
+	<-h.entered
+	if conn.EndIfQuiet() {
+		t.Error("ended while the handler had bytes in hand")
+	}
+	say("b") // waits to be read
+	h.gate <- struct{}{}
+	if <-h.got; conn.EndIfQuiet() {
+		t.Error("ended while bytes waited, or were in hand")
+	}
+	<-h.entered
+	h.gate <- struct{}{}
+	<-h.got
+	big := make([]byte, 32<<20) // more than the sockets hold
+	if _, err := conn.Write(big); err != nil {
+		t.Fatal(err)
+	}
+	if conn.Backlog() == 0 || conn.EndIfQuiet() {
+		t.Error("ended while bytes of ours waited")
+	}
+	if _, err := io.ReadFull(peer, big); err != nil {
+		t.Fatal(err)
+	}
+	for !conn.EndIfQuiet() { // the handler's goroutine may not be through yet
+		time.Sleep(time.Millisecond)
+	}
+	if n, err := peer.Read(big); n != 0 || err != io.EOF {
+		t.Errorf("%d bytes and %v, want the end", n, err)
+	}
+	if conn.PeerGone() {
+		t.Error("the other side counts as gone")
+	}
+	say("c")
+	if _ = peer.Close(); !conn.PeerGone() { // with its last byte unread
+		t.Error("the other side's end is not seen")
+	}
+	close(h.gate)
+}
+
+// All that the other side has sent before its end is read, however much it is.
+func TestAllBeforeAnEndIsRead(t *testing.T) {
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	h := &slow{newEar(), make(chan struct{}, 1), make(chan struct{})}
+	_, first := pairOf(t, loop, l, h)
+	defer first.Close()
+	count := &counter{closed: make(chan struct{})}
+	conn, peer := pairOf(t, loop, l, count)
+	if _, err := first.Write([]byte("x")); err != nil { // holds up the reads till all has come
+		t.Fatal(err)
+	}
+	<-h.entered
+	const size = 5 * readSize
+	if _, err := peer.Write(make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	_ = peer.Close()
+	for over := time.Now().Add(20 * time.Second); !conn.PeerGone(); time.Sleep(time.Millisecond) {
+		if time.Now().After(over) {
+			t.Fatal("its end has not come")
+		}
+	}
+	close(h.gate)
+	if <-count.closed; count.n != size {
+		t.Errorf("%d of %d bytes were read", count.n, size)
+	}
+}
+
+type counter struct {
+	n      int
+	closed chan struct{}
+}
+
+func (c *counter) Data(b []byte) { c.n += len(b) }
+func (c *counter) Closed(error)  { close(c.closed) }
