Know a change 6 s after discovery could be reached, whatever calls have failed before

Cause, by reading and a sum: where lists must be asked for, a broker could be away from discovery for up to 7.5 s after a failed call (a pause of half to one and a half times 5 s), beside 2 s for its dial and 2 s for the call that was out; a watch that had fallen silent was given up 2 s after its wait, when what it missed counts as told already, and then waited like any failure. An answer without a length that was reset counted as whole. Versions that went back left the old list in use. SIGHUP ended the old watch before the new discovery had said a word: with that one down, a drain that the old agent had told was lost. Without any list a broker was ready after 15 s, where 10 are allowed.

A silent watch is given up 1.5 s after its wait and opened anew within 0.25 s; for 20 s after a failure watches that cost wait 0.2 s a broker, 2 s at least. The old watch goes on till the new one has been answered. A reset is no end; a version that goes back brings the whole list. Ready 7 s after the start.

--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -414,3 +414,50 @@
 	}
 	return threads, rssKB, len(all)
 }
+
+// Idle clients take all the descriptors that they can get while discovery is down. What
+// is kept for discovery and the nodes is kept: once discovery can be reached its list is
+// in use within the time that it counts as told by, and new clients are served.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	const sockets = 128
+	gone, n := testkit.NewNode(t, "s-1", false), testkit.NewNode(t, "s-1", false)
+	d := testkit.NewDiscovery(t, n.Entry())
+	d.Change(n.Entry())
+	way := testkit.NewWayTo(t, "tcp", "127.0.0.1:0", d.Addr)
+	way.Set(testkit.Refuse)
+	listen := freeAddr(t)
+	p := start(t, testkit.Config(way.Addr, []testkit.Entry{gone.Entry()}, testkit.Settings(nil), map[string]any{
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
+	}), listen)
+	testkit.Eventually(t, "it is ready", func() bool { return ready(listen) })
+	gone.Stop()
+	for i := range 2 * sockets { // half of them ask once, and keep their connection
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			fmt.Fprint(c, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+	}
+	if _, _, fds := p.numbers(t); fds > sockets {
+		t.Fatalf("%d descriptors of %d", fds, sockets)
+	}
+	way.Set(testkit.Pass)
+	back := time.Now()
+	asked := 0
+	testkit.Eventually(t, "a client is served by what discovery tells", func() bool {
+		asked++
+		q := testkit.Query{Class: "screen", ID: fmt.Sprint("a", asked), Shards: []int{1, 2}, Within: 3 * time.Second}
+		return testkit.AskHTTP(context.Background(), listen, q).Kind == "served"
+	})
+	if took := time.Since(back); took > 6*time.Second {
+		t.Errorf("after %v", took)
+	}
+	if _, _, fds := p.numbers(t); fds > sockets {
+		t.Fatalf("%d descriptors of %d", fds, sockets)
+	}
+	p.stop(t)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,11 +40,11 @@
 	maxWrite    = 512 << 10       // bytes that wait at one connection
 	drainWithin = 8 * time.Second // beyond the longest deadline nothing is left
 	// readyWithin is how long a broker without a list waits for one before it takes
-	// clients all the same: the platform sends them after 30 s, ready or not, and a
+	// clients all the same: nine in ten that restart must be ready within 10 s, and a
 	// refusal at once, with a time to come back, is more than a closed door.
-	readyWithin = 15 * time.Second
-	// toldWithin is when news of the list counts as told, whether it came or not
-	// (PROTOCOL, "Figures"): no broker of a large fleet may wait for its turn longer.
+	readyWithin = 7 * time.Second
+	// toldWithin is when news of the list counts as told once discovery has it and can be
+	// reached, whatever calls have failed before.
 	toldWithin = 6 * time.Second
 )
 
@@ -68,10 +68,9 @@
 	stop   context.CancelFunc // of the core
 	wg     sync.WaitGroup
 
-	mu     sync.Mutex         // guards cfg, what follows, and limits that two sides set
-	watch  context.CancelFunc // of the roster at the present address
-	over   bool               // Stop has begun
-	limits broker.Limits      // as the core was told last
+	mu     sync.Mutex    // guards cfg, what follows, and limits that two sides set
+	over   bool          // Stop has begun
+	limits broker.Limits // as the core was told last
 }
 
 // TuneRuntime fits the Go runtime to the platform's limits: it is called once
@@ -241,25 +240,22 @@
 }
 
 // followAt begins to watch discovery at addr, from the version in hand where
-// that is this discovery's, and ends the watch before it, whose late answers no
-// longer count: they would bring an old list back. d.mu is held.
+// that is this discovery's. The watch before it ends once this one has been
+// answered. d.mu is held.
 func (d *Daemon) followAt(addr string, known *int64) {
-	if d.watch != nil {
-		d.watch()
-	}
-	var ctx context.Context
-	ctx, d.watch = context.WithCancel(context.Background())
+	ctx, end := context.WithCancel(context.Background())
 	brokers := 0
 	if d.cfg.Settings.AskForList {
 		brokers = d.cfg.Settings.Roots
 	}
-	silence := time.Duration(d.cfg.Settings.AskWithinMs / 2 * float64(time.Millisecond))
-	if silence <= 0 {
-		silence = toldWithin / 2
+	told := toldWithin
+	if ms := d.cfg.Settings.AskWithinMs; ms > 0 {
+		told = min(told, time.Duration(ms*float64(time.Millisecond)))
 	}
+	heard, deliver := d.seen.source(end)
 	client := discovery.New(discovery.Options{
-		Addr: addr, Zones: d.cfg.Zones, Kinds: d.cfg.Kinds, Log: d.log, Deliver: d.seen.source(),
-		Known: known, Brokers: brokers, Seed: d.cfg.Seed, Silence: silence,
+		Addr: addr, Zones: d.cfg.Zones, Kinds: d.cfg.Kinds, Log: d.log, Heard: heard, Deliver: deliver,
+		Known: known, Brokers: brokers, Seed: d.cfg.Seed, Told: told,
 	})
 	d.wg.Add(1)
 	go func() {
@@ -374,7 +370,7 @@
 	err := ctx.Err()
 	d.mu.Lock()
 	d.over = true // a reload from now on would start what nothing ends
-	d.watch()
+	d.seen.stop()
 	d.mu.Unlock()
 	d.cancel()
 	d.stop()
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -61,26 +61,61 @@
 	ready func() // called once a list with nodes is in hand
 	once  sync.Once
 
-	mu  sync.Mutex
-	now int // the source that may deliver
+	mu      sync.Mutex
+	now     source // goes on until the next one has been answered
+	next    source // has not been yet
+	sources int
 }
 
-// source returns what a new source of news delivers to. From then on news of
-// all earlier ones are ignored.
-func (r *roster) source() func(broker.Roster) {
+// source is one that news of the list come from.
+type source struct {
+	id  int
+	end context.CancelFunc
+}
+
+// stop ends a source, if it is one.
+func (s source) stop() {
+	if s.end != nil {
+		s.end()
+	}
+}
+
+// source takes a new source of news, which end ends, and returns what it calls when it
+// has been answered and what it delivers to. The one before it goes on until then: what
+// that has heard counts as told, and the new one may be down. From then on news of the
+// old one are ignored, as they would bring an old list back.
+func (r *roster) source(end context.CancelFunc) (heard func(), deliver func(broker.Roster)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.now++
-	own := r.now
-	return func(news broker.Roster) {
+	r.next.stop()
+	r.sources++
+	own := source{r.sources, end}
+	r.next = own
+	heard = func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.now == own {
+		if own.id == r.next.id {
+			r.now.stop()
+			r.now, r.next = own, source{}
+		}
+	}
+	return heard, func(news broker.Roster) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if own.id == r.now.id {
 			r.deliver(news)
 		}
 	}
 }
 
+// stop ends all sources.
+func (r *roster) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.now.stop()
+	r.next.stop()
+}
+
 func (r *roster) deliver(news broker.Roster) {
 	r.core.Roster(news)
 	if len(news.Nodes) > 0 {
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/url"
+	"os"
 	"strconv"
 	"time"
 
@@ -19,16 +21,42 @@
 )
 
 const (
-	maxList     = 8 << 20
-	watchFor    = 20 * time.Second
-	answerSlack = 2 * time.Second // beyond what a call may wait
-	// A watch may fall silent, and then tells nothing for as long as it is waited
-	// for. Where calls cost nothing they wait this long, and are late after so much
-	// more, so that a silent one is soon opened anew.
+	maxList  = 8 << 20
+	watchFor = 20 * time.Second
+	// dialWithin and answerWithin bound a call that does not wait, the second in all.
+	dialWithin   = time.Second
+	answerWithin = 2 * time.Second
+	// A watch may fall silent, and then tells nothing for as long as it is waited for.
+	// What it misses counts as told 2 s after that: it is late this much after its wait,
+	// and opened anew within so much more.
+	watchSlack = 1500 * time.Millisecond
+	anew       = 250 * time.Millisecond
+	// Where calls cost nothing they wait this long, and are late after so much more, so
+	// that a silent one is soon opened anew.
 	freeWatch = time.Second
 	freeSlack = 500 * time.Millisecond
+	// Where they do cost, they wait no longer than this for each broker, and leastWatch,
+	// for a while after one that has failed.
+	watchEach  = 200 * time.Millisecond
+	leastWatch = 2 * time.Second
+	// spare is kept of the time in which a change must be known: for the answer's way,
+	// and the list's into use.
+	spare = 750 * time.Millisecond
 )
 
+// errSilent is the end of a watch that did not say a word within its time.
+var errSilent = errors.New("the watch has fallen silent")
+
+// statusError is discovery's own word that it does not answer.
+type statusError int
+
+func (s statusError) Error() string { return fmt.Sprintf("calling discovery: status %d", int(s)) }
+
+// away is the longest that a broker may leave discovery alone after a call that has
+// failed, where a change must be known within told of the moment at which it could be
+// reached: the call that is out then must come to its end before.
+func away(told time.Duration) time.Duration { return max(told/4, told-answerWithin-spare) }
+
 // Options make a Client.
 type Options struct {
 	Addr         string
@@ -37,9 +65,12 @@
 	// is, and the whole list is asked for.
 	Known   *int64
 	Brokers int // that share a discovery of scarce room; 0: its answers cost nothing
-	// Silence is the longest that a broker should go without asking.
-	Silence time.Duration
-	Seed    uint64 // different at each broker
+	// Told is how soon a change must be known once discovery has it and can be reached,
+	// also after calls that have failed.
+	Told time.Duration
+	Seed uint64 // different at each broker
+	// Heard is called at each answer, one without news too; it may be nil.
+	Heard   func()
 	Deliver func(broker.Roster)
 	Log     zerolog.Logger
 }
@@ -49,8 +80,10 @@
 	opts    Options
 	conn    net.Conn
 	parser  http1.Parser
-	version int64 // of the latest answer
-	whole   bool  // a full list is in hand
+	version int64     // of the latest answer
+	whole   bool      // a full list is in hand
+	failed  time.Time // when a call failed last
+	silent  bool      // the latest call was a watch that fell silent
 }
 
 // New returns a client that Run starts.
@@ -69,7 +102,7 @@
 // begin a new one.
 func (c *Client) Run(ctx context.Context) {
 	defer c.hangUp()
-	pace := NewPace(c.opts.Brokers, c.opts.Silence, c.opts.Seed)
+	pace := NewPace(c.opts.Brokers, away(c.opts.Told), c.opts.Seed)
 	if c.whole && !sleep(ctx, pace.Start()) {
 		return
 	}
@@ -77,13 +110,20 @@
 		err := c.step(ctx)
 		if err == nil {
 			pace.Answered()
+			c.silent = false
 			continue
 		}
 		c.hangUp()
 		if ctx.Err() != nil {
 			return
 		}
-		pause := pace.Failed()
+		c.failed = time.Now()
+		var refused statusError
+		pause := pace.Anew()
+		if again := c.silent; !errors.Is(err, errSilent) || again {
+			pause = pace.Failed(errors.As(err, &refused))
+		}
+		c.silent = errors.Is(err, errSilent)
 		// What is in hand stands: the module works on with its old list.
 		c.opts.Log.Warn().Str("event", "discovery").Err(err).Dur("pause", pause).Msg("discovery does not answer")
 		sleep(ctx, pause)
@@ -104,11 +144,11 @@
 
 // step makes one call and delivers its answer.
 func (c *Client) step(ctx context.Context) error {
-	path, within := "/v1/endpoints", answerSlack
+	path, within := "/v1/endpoints", answerWithin
 	if c.whole {
-		wait := watchFor
-		if within += wait; c.opts.Brokers == 0 {
-			wait, within = freeWatch, freeWatch+freeSlack
+		wait := c.wait()
+		if within = wait + watchSlack; c.opts.Brokers == 0 {
+			within = wait + freeSlack
 		}
 		q := url.Values{"after": {strconv.FormatInt(c.version, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 		path += "?" + q.Encode()
@@ -118,7 +158,7 @@
 		return err
 	}
 	if m.Status != 200 {
-		return fmt.Errorf("calling discovery: status %d", m.Status)
+		return statusError(m.Status)
 	}
 	l, err := ParseList(m.Body, c.opts.Zones, c.opts.Kinds)
 	if err != nil {
@@ -132,20 +172,39 @@
 	if !l.Full && !c.whole {
 		return errors.New("calling discovery: changes came where the whole list was asked for")
 	}
+	if !l.Full && l.Version < c.version { // it has begun anew: what it told before may not hold
+		c.whole = false
+		return fmt.Errorf("calling discovery: version %d after %d", l.Version, c.version)
+	}
 	c.version = l.Version
 	kind := decide.ListDelta
 	if l.Full {
 		kind, c.whole = decide.ListFull, true
 	}
+	if c.opts.Heard != nil {
+		c.opts.Heard()
+	}
 	if l.Full || len(l.Nodes) > 0 {
 		c.opts.Deliver(broker.Roster{Kind: kind, Version: l.Version, Nodes: l.Nodes})
 	}
 	return nil
 }
 
+// wait is how long the next watch may wait.
+func (c *Client) wait() time.Duration {
+	switch {
+	case c.opts.Brokers == 0:
+		return freeWatch
+	case !c.failed.IsZero() && time.Since(c.failed) < watchFor:
+		return min(max(leastWatch, time.Duration(c.opts.Brokers)*watchEach), watchFor)
+	}
+	return watchFor
+}
+
 func (c *Client) call(ctx context.Context, path string, within time.Duration) (*http1.Message, error) {
+	start := time.Now()
 	if c.conn == nil {
-		d := net.Dialer{Timeout: answerSlack}
+		d := net.Dialer{Timeout: dialWithin}
 		conn, err := d.DialContext(ctx, "tcp", c.opts.Addr)
 		if err != nil {
 			return nil, fmt.Errorf("reaching discovery: %w", err)
@@ -155,7 +214,7 @@
 	conn := c.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	defer stop()
-	if err := conn.SetDeadline(time.Now().Add(within)); err != nil {
+	if err := conn.SetDeadline(start.Add(within)); err != nil {
 		return nil, fmt.Errorf("calling discovery: %w", err)
 	}
 	if _, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + c.opts.Addr + "\r\n\r\n")); err != nil {
@@ -166,7 +225,7 @@
 		n, err := conn.Read(buf)
 		c.parser.Feed(buf[:n])
 		m, bad := c.parser.Next()
-		if bad == nil && m == nil && err != nil {
+		if bad == nil && m == nil && errors.Is(err, io.EOF) { // a reset, or our patience, ends no answer
 			m, bad = c.parser.End()
 		}
 		switch {
@@ -177,6 +236,8 @@
 				c.hangUp()
 			}
 			return m, nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.whole && !c.parser.Mid():
+			return nil, errSilent
 		case err != nil:
 			return nil, fmt.Errorf("reading discovery's answer: %w", err)
 		}
--- a/discovery/pace_test.go
+++ b/discovery/pace_test.go
@@ -41,7 +41,7 @@
 			c.p.Answered()
 			answered = append(answered, at)
 		} else {
-			calls = append(calls, call{at + c.p.Failed(), c.p})
+			calls = append(calls, call{at + c.p.Failed(true), c.p})
 		}
 	}
 	return answered
@@ -57,7 +57,7 @@
 	}{{75 * time.Millisecond, 12 * time.Second}, {10 * time.Millisecond, 5 * time.Second}, {150 * time.Millisecond, 45 * time.Second}} {
 		var paces []*Pace
 		for i := range 56 {
-			paces = append(paces, NewPace(80, 5*time.Second, uint64(i+1)))
+			paces = append(paces, NewPace(80, away(6*time.Second), uint64(i+1)))
 		}
 		answered := follow(&office{each: c.each, patience: 2 * time.Second}, paces)
 		if len(answered) < len(paces) || slices.Max(answered) > c.all {
@@ -74,21 +74,21 @@
 		if d := p.Start(); d != 0 {
 			t.Errorf("%d brokers: the first call after %v", brokers, d)
 		}
-		if d := p.Failed(); d > 2*firstPause {
+		if d := p.Failed(false); d > 2*firstPause {
 			t.Errorf("%d brokers: the first pause is %v", brokers, d)
 		}
 		for range 20 {
-			if d := p.Failed(); d > 2*longPause {
+			if d := p.Failed(false); d > 2*longPause {
 				t.Errorf("%d brokers: a pause of %v", brokers, d)
 			}
 		}
-		if p.Answered(); p.Failed() > 2*firstPause {
+		if p.Answered(); p.Failed(false) > 2*firstPause {
 			t.Error("an answer does not end the long pauses")
 		}
 	}
 	for range 20 { // and none stays away longer than it may be silent
 		p := NewPace(1000, 5*time.Second, 3)
-		if a, b := p.Start(), p.Failed(); a > 5*time.Second || b > 8*time.Second {
+		if a, b := p.Start(), p.Failed(false); a > 5*time.Second || b > 8*time.Second {
 			t.Errorf("1,000 brokers: %v, %v", a, b)
 		}
 	}
--- a/internal/testkit/way.go
+++ b/internal/testkit/way.go
@@ -27,14 +27,23 @@
 	conns           map[net.Conn]net.Conn // by the side of the client
 }
 
-// NewWay opens a way at a network address ("tcp" or "unix") to a node's own.
-func NewWay(t testing.TB, network, addr string, n *Node) *Way {
+// NewWayTo opens a way at a network address ("tcp" or "unix") to any address.
+func NewWayTo(t testing.TB, network, addr, to string) *Way {
 	t.Helper()
-	w := &Way{network: network, at: addr, to: n.listener.Addr().String(), mode: Pass, conns: map[net.Conn]net.Conn{}}
+	w := &Way{network: network, at: addr, to: to, mode: Pass, conns: map[net.Conn]net.Conn{}}
 	if err := w.open(); err != nil {
 		t.Fatal(err)
 	}
 	w.at = w.listener.Addr().String() // the port stays the same over faults
+	w.Addr = w.at
+	t.Cleanup(func() { w.Set(Refuse) })
+	return w
+}
+
+// NewWay opens a way at a network address to a node's own.
+func NewWay(t testing.TB, network, addr string, n *Node) *Way {
+	t.Helper()
+	w := NewWayTo(t, network, addr, n.listener.Addr().String())
 	switch {
 	case network == "unix" && n.server != nil:
 		w.Addr = "grpc+unix:" + w.at
@@ -42,10 +51,7 @@
 		w.Addr = "unix:" + w.at
 	case n.server != nil:
 		w.Addr = "grpc+tcp://" + w.at
-	default:
-		w.Addr = w.at
 	}
-	t.Cleanup(func() { w.Set(Refuse) })
 	return w
 }
 
