Take no Flight query whose client has left, and test the other crossings

A DoGet whose client had cancelled while the call waited for us was handed to the core, and left it again: attempts could begin between the two (flightfront.DoGet). It looks first now.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -351,3 +351,41 @@
 		}
 	}
 }
+
+// A client that leaves in the turn in which an outcome would start a further attempt, or
+// its own query's first, in either order: nothing begins for it.
+func TestNothingBeginsForAClientThatLeftInTheSameTurn(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		c, nodes := newCore(3)
+		c.turn()
+		id, ok := c.Submit(ask(), make(replies, 1))
+		if !ok {
+			t.Fatal("not taken")
+		}
+		c.turn()
+		out := len(nodes.sent)
+		if out != 2 {
+			t.Fatalf("%d attempts", out)
+		}
+		if first {
+			c.Leave(id)
+		}
+		c.Outcome(nodes.sent[0].ID, decide.Failed, Answer{})
+		c.Outcome(nodes.sent[1].ID, decide.Rejected, Answer{})
+		if !first {
+			c.Leave(id)
+		}
+		late := ask()
+		late.Name = "late"
+		other, ok := c.Submit(late, make(replies, 1))
+		if !ok {
+			t.Fatal("not taken")
+		}
+		c.Leave(other)
+		c.turn()
+		c.turn()
+		if len(nodes.sent) != out || len(c.queries)+len(c.tries)+c.held != 0 {
+			t.Errorf("left first %v: %d attempts more; state left", first, len(nodes.sent)-out)
+		}
+	}
+}
--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -172,6 +172,9 @@
 	if err != nil {
 		return err
 	}
+	if ctx.Err() != nil { // it has waited for us, and its client has left
+		return status.FromContextError(ctx.Err()).Err()
+	}
 	w := make(waiter, 1)
 	id, ok := f.opts.Core.Submit(q, w)
 	if !ok {
--- a/flightfront/front_test.go
+++ b/flightfront/front_test.go
@@ -200,3 +200,27 @@
 		}
 	}
 }
+
+// goneStream is a stream whose client has left.
+type goneStream struct {
+	grpc.ServerStream
+	ctx context.Context
+}
+
+func (g *goneStream) Context() context.Context      { return g.ctx }
+func (g *goneStream) Send(*flight.FlightData) error { return errors.New("nobody is there") }
+
+// A client that cancels while its call waits for us has nothing done for it.
+func TestClientLeavesBeforeItsQueryIsTaken(t *testing.T) {
+	core := &fakeCore{}
+	f := &Front{opts: Options{Core: core, Shards: 18, Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ticket := []byte(`{"id":"q","class":"screen","targets":[{"partition":1,"share":1}],"query":"x"}`)
+	if err := f.DoGet(&flight.Ticket{Ticket: ticket}, &goneStream{ctx: ctx}); status.Code(err) != codes.Canceled {
+		t.Errorf("got %v", err)
+	}
+	if len(core.got) != 0 {
+		t.Errorf("%d queries reached the core", len(core.got))
+	}
+}
--- /dev/null
+++ b/flightnode/late_test.go
@@ -0,0 +1,105 @@
+package flightnode
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/testkit"
+)
+
+// gate is a way to a node that passes nothing on until it is opened: connections to it
+// come up, and the node's first words do not come.
+func gate(t *testing.T, to *testkit.Node) (addr string, open func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened := make(chan struct{})
+	var once sync.Once
+	open = func() { once.Do(func() { close(opened) }) }
+	var all sync.WaitGroup
+	t.Cleanup(func() {
+		l.Close()
+		open()
+		all.Wait()
+	})
+	all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			all.Go(func() {
+				defer c.Close()
+				<-opened
+				node, err := net.Dial("tcp", strings.TrimPrefix(to.Addr, broker.FlightScheme))
+				if err != nil {
+					return
+				}
+				defer node.Close()
+				back := make(chan struct{})
+				go func() {
+					defer close(back)
+					_, _ = io.Copy(c, node) // ends with either side
+					_ = c.Close()
+				}()
+				_, _ = io.Copy(node, c)
+				_ = node.Close()
+				<-back
+			})
+		}
+	})
+	return broker.FlightScheme + l.Addr().String(), open
+}
+
+// What waits for a connection past the time in which it may begin, a repeat past its
+// class's window or the work for a node whose drain has been told or that is gone, is not
+// sent and never ran.
+func TestNothingBeginsLate(t *testing.T) {
+	s := &sink{got: map[broker.AttemptID][]decide.Outcome{}}
+	c := New(Options{Sink: s, ConnectTimeout: 20 * time.Second, MaxConns: 8, Log: zerolog.New(io.Discard)})
+	defer c.Close()
+	var list []broker.Node
+	var nodes []*testkit.Node
+	var opens []func()
+	for _, id := range []string{"n", "drained", "gone"} {
+		n := testkit.NewNode(t, id, true)
+		addr, open := gate(t, n)
+		nodes, opens, list = append(nodes, n), append(opens, open), append(list, broker.Node{ID: id, Addr: addr})
+	}
+	c.Update(list)
+	try := func(id int, node string, latest time.Time) {
+		c.Send(node, []broker.Attempt{{ID: broker.AttemptID(id), Node: node, Query: "q", Shard: id, Text: []byte("x"), Wait: time.Minute, Latest: latest}})
+	}
+	try(1, "n", time.Now())
+	try(2, "n", time.Time{})
+	try(3, "drained", time.Time{})
+	try(4, "gone", time.Time{})
+	list[1].Latest = time.Now()
+	c.Update(list[:2])
+	for _, open := range opens {
+		open()
+	}
+	testkit.Eventually(t, "all have ended", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.got) == 4
+	})
+	for id, want := range map[broker.AttemptID]decide.Outcome{1: decide.NotSent, 2: decide.OK, 3: decide.NotSent, 4: decide.NotSent} {
+		if got := s.got[id]; len(got) != 1 || got[0] != want {
+			t.Errorf("attempt %d: outcomes %v, want %v", id, got, want)
+		}
+	}
+	if calls := nodes[0].Calls(); len(calls) != 1 || calls[0].Shard != 2 || len(nodes[1].Calls())+len(nodes[2].Calls()) != 0 {
+		t.Errorf("the nodes got %+v, %+v, %+v", calls, nodes[1].Calls(), nodes[2].Calls())
+	}
+}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -332,3 +332,32 @@
 
 func (c *counter) Data(b []byte) { c.n += len(b) }
 func (c *counter) Closed(error)  { close(c.closed) }
+
+// Small writes leave at once on every connection: one that the system held back would go
+// with a connection that is closed.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	dialled, err := NewDialer().Dial(context.Background(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, nc := range []net.Conn{dialled, accepted} {
+		conn, err := loop.Attach(nc, newEar(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		set := 0
+		if err := conn.control(func(fd uintptr) { set, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) }); err != nil || set == 0 {
+			t.Errorf("TCP_NODELAY %d, %v", set, err)
+		}
+	}
+}
