--- a/httpfront/crossing_test.go
+++ b/httpfront/crossing_test.go
@@ -179,6 +179,24 @@
 	}
 }
 
+// A stop does not end a connection that has only just come: its first request is on its
+// way, and a new connection that ends without an answer counts as a refusal.
+func TestStopWaitsForTheFirstRequest(t *testing.T) {
+	f, core := start(t)
+	client, in := dial(t, f)
+	c := only(t, f, silent)
+	c.mu.Lock()
+	c.since = time.Now().Add(time.Hour) // as young as can be
+	c.mu.Unlock()
+	c.endIfIdle()
+	say(t, client, named("a"))
+	testkit.Eventually(t, "the query is taken", func() bool { return core.taken() == 1 })
+	core.answer(1, broker.Reply{Verdict: broker.Served})
+	if res, _ := read(t, in); res.StatusCode != http.StatusOK {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
 // An answer that its client has not read yet outlives the time for which a connection
 // is waited for after its end.
 func TestUnreadAnswerOutlivesTheLinger(t *testing.T) {
