--- a/broker/broker.go
+++ b/broker/broker.go
@@ -596,17 +596,17 @@
 // drop forgets a query; attempts still out are given up, and each keeps its
 // one outcome to come.
 func (c *Core) drop(q *query, now time.Time) {
+	delete(c.queries, q.id)
+	delete(c.open, q.Name)
+	delete(c.byEvent, q.event)
+	c.held -= 1 + len(q.parts)
+	c.stats.open.Add(-1) // before any node hears that its part is given up
 	for _, p := range q.parts {
 		for _, t := range p.tries {
 			c.giveUp(t, now)
 		}
 		delete(c.parts, p.id)
 	}
-	delete(c.queries, q.id)
-	delete(c.open, q.Name)
-	delete(c.byEvent, q.event)
-	c.held -= 1 + len(q.parts)
-	c.stats.open.Add(-1)
 }
 
 func (c *Core) finish(q *query, r Reply, now time.Time) {
