Let a watch that costs wait 0.2 s a broker, 3 to 20 s: a silent one was known of too late

A watch waits 0.2 s for each broker, 3 s at least and 20 s at most, so that a few brokers know of a silent one well within 6 s; it is given up 1 s after its wait (1.5 s) and opened anew within 0.1 s.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -29,16 +29,17 @@
 	// A watch may fall silent, and then tells nothing for as long as it is waited for.
 	// What it misses counts as told 2 s after that: it is late this much after its wait,
 	// and opened anew within so much more.
-	watchSlack = 1500 * time.Millisecond
-	anew       = 250 * time.Millisecond
+	watchSlack = time.Second
+	anew       = 100 * time.Millisecond
 	// Where calls cost nothing they wait this long, and are late after so much more, so
 	// that a silent one is soon opened anew.
 	freeWatch = time.Second
 	freeSlack = 500 * time.Millisecond
-	// Where they do cost, they wait no longer than this for each broker, and leastWatch,
-	// for a while after one that has failed.
+	// Where they do cost, they wait longer the more brokers ask, this long for each and
+	// leastWatch: a silent watch of that is known of, and opened anew, less than 6 s after
+	// it began.
 	watchEach  = 200 * time.Millisecond
-	leastWatch = 2 * time.Second
+	leastWatch = 3 * time.Second
 	// spare is kept of the time in which a change must be known: for the answer's way,
 	// and the list's into use.
 	spare = 750 * time.Millisecond
@@ -80,10 +81,9 @@
 	opts    Options
 	conn    net.Conn
 	parser  http1.Parser
-	version int64     // of the latest answer
-	whole   bool      // a full list is in hand
-	failed  time.Time // when a call failed last
-	silent  bool      // the latest call was a watch that fell silent
+	version int64 // of the latest answer
+	whole   bool  // a full list is in hand
+	silent  bool  // the latest call was a watch that fell silent
 }
 
 // New returns a client that Run starts.
@@ -117,7 +117,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c.failed = time.Now()
 		var refused statusError
 		pause := pace.Anew()
 		if again := c.silent; !errors.Is(err, errSilent) || again {
@@ -190,15 +189,12 @@
 	return nil
 }
 
-// wait is how long the next watch may wait.
+// wait is how long a watch may wait.
 func (c *Client) wait() time.Duration {
-	switch {
-	case c.opts.Brokers == 0:
+	if c.opts.Brokers == 0 {
 		return freeWatch
-	case !c.failed.IsZero() && time.Since(c.failed) < watchFor:
-		return min(max(leastWatch, time.Duration(c.opts.Brokers)*watchEach), watchFor)
 	}
-	return watchFor
+	return min(max(leastWatch, time.Duration(c.opts.Brokers)*watchEach), watchFor)
 }
 
 func (c *Client) call(ctx context.Context, path string, within time.Duration) (*http1.Message, error) {
