--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -239,7 +239,8 @@
 	for after := range 10 { // milliseconds, over the whole of a start
 		listen := freeAddr(t)
 		p := start(t, cfg, listen)
-		time.Sleep(time.Duration(1+after) * time.Millisecond) // the shell has its trap by then
+		testkit.Eventually(t, "the shell has its trap", func() bool { return p.holdsOff(t, syscall.SIGHUP) })
+		time.Sleep(time.Duration(after) * time.Millisecond)
 		testkit.Eventually(t, "it is ready", func() bool {
 			_ = p.cmd.Process.Signal(syscall.SIGHUP)
 			return ready(listen)
@@ -390,6 +391,29 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// holdsOff says whether a signal would not end the process: it is ignored or caught.
+func (p *process) holdsOff(t *testing.T, sig syscall.Signal) bool {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		name, value, _ := strings.Cut(line, ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		mask, err := strconv.ParseUint(strings.TrimSpace(value), 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if mask&(1<<(sig-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // numbers reads what the system says of a process.
 func (p *process) numbers(t *testing.T) (threads, rssKB, descriptors int) {
 	t.Helper()
