Tell a node the time left when the frame leaves; begin nothing behind a full socket

An attempt waits up to 250 ms for its connection, or a Flight stream, and told its node the time that was left before: up to 0.25 s more than the client had, where 0.15 s is the bound for further attempts. Both clients now tell what is left. A frame that waits for a full socket could begin up to 0.35 s after its client had left; its connection is closed as soon as nothing in it is wanted.

--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -358,13 +358,6 @@
 // then on only the node's own word, in the trailer, proves that it did not.
 func (c *Client) call(ctx context.Context, conn *grpc.ClientConn, n *node, a broker.Attempt) (decide.Outcome, broker.Answer, error) {
 	var answer broker.Answer
-	ticket, err := flightwire.Encode(flightwire.PartTicket{
-		ID: fmt.Sprintf("%s.%d", a.Query, a.Shard), Partition: a.Shard, WaitMs: max(1, a.Wait.Milliseconds()),
-		Key: a.Key, Query: a.Text,
-	})
-	if err != nil {
-		return decide.NotSent, answer, err
-	}
 	tell := func(p broker.WirePhase, at time.Time) {
 		if c.opts.Observer != nil {
 			c.opts.Observer.Wire(a.ID, p, conn.Target(), at)
@@ -395,6 +388,17 @@
 	if latest, listed := c.latest(n); !listed || a.Late(latest, time.Now()) {
 		return decide.NotSent, answer, errLate
 	}
+	left := a.Wait // the node is told what is left now
+	if end, ok := ctx.Deadline(); ok {
+		left = time.Until(end)
+	}
+	ticket, err := flightwire.Encode(flightwire.PartTicket{
+		ID: fmt.Sprintf("%s.%d", a.Query, a.Shard), Partition: a.Shard, WaitMs: max(1, left.Milliseconds()),
+		Key: a.Key, Query: a.Text,
+	})
+	if err != nil {
+		return decide.NotSent, answer, err
+	}
 	get := &answers{ClientStream: stream, began: &answer.Began}
 	if err = stream.SendMsg(ticket); err == nil {
 		err = stream.CloseSend()
--- a/flightnode/late_test.go
+++ b/flightnode/late_test.go
@@ -103,3 +103,29 @@
 		t.Errorf("the nodes got %+v, %+v, %+v", calls, nodes[1].Calls(), nodes[2].Calls())
 	}
 }
+
+// A node is told the time that is left when the ticket leaves, not what was left before it
+// waited for its connection.
+func TestNodeIsToldWhatIsLeft(t *testing.T) {
+	s := &sink{got: map[broker.AttemptID][]decide.Outcome{}}
+	c := New(Options{Sink: s, ConnectTimeout: 20 * time.Second, MaxConns: 8, Log: zerolog.New(io.Discard)})
+	defer c.Close()
+	n := testkit.NewNode(t, "n", true)
+	addr, open := gate(t, n)
+	c.Update([]broker.Node{{ID: "n", Addr: addr}})
+	sent := time.Now()
+	c.Send("n", []broker.Attempt{{ID: 1, Node: "n", Query: "q", Shard: 1, Text: []byte("x"), Wait: time.Minute}})
+	began := time.Now()
+	testkit.Eventually(t, "some time has gone by", func() bool { return time.Since(began) > 20*time.Millisecond })
+	waited := time.Since(began)
+	open()
+	testkit.Eventually(t, "it has ended", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.got) == 1
+	})
+	calls := n.Calls()
+	if len(calls) != 1 || calls[0].Wait > time.Minute-waited || calls[0].Wait < time.Minute-time.Since(sent)-time.Millisecond {
+		t.Errorf("the node got %+v, after %v", calls, waited)
+	}
+}
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -436,7 +436,9 @@
 			cn.c.opts.Sink.Outcome(cl.ID, decide.NotSent, broker.Answer{})
 			continue
 		}
-		out = append(out, calls[i])
+		told := calls[i]
+		told.Wait -= now.Sub(cl.since) // the node is told what is left, not what was before the connection
+		out = append(out, told)
 	}
 	if len(out) == 0 {
 		return
@@ -500,6 +502,11 @@
 	if cl.end == 0 || cn.gone || cn.spoilt {
 		return
 	}
+	if cn.begins(cl) {
+		cn.ours = true
+		cn.sock.Close()
+		return
+	}
 	cn.used = time.Now()
 	if len(cn.calls) == 0 && !cn.silent(cn.used) {
 		cn.waiting = time.Time{} // the node may answer nothing more, rightly
@@ -510,6 +517,21 @@
 	}
 }
 
+// begins says whether a part that has been given up would begin only now: its frame waits
+// for a full socket and carries nothing else that is still wanted. A node that reads
+// nothing for so long has the others that are out hang too.
+func (cn *conn) begins(cl *call) bool {
+	if cl.end <= cn.sock.Written() {
+		return false
+	}
+	for _, other := range cn.calls {
+		if other.end == cl.end {
+			return false
+		}
+	}
+	return true
+}
+
 // Probe implements broker.NodeClient.
 func (c *Client) Probe(id string) {
 	c.mu.Lock()
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -183,20 +183,22 @@
 
 // A frame whose last byte had not left when the connection broke never ran;
 // one that left whole may have.
-func TestPartialWriteNeverRan(t *testing.T) {
-	c, s := client(t, 8, 0)
+// jammed is a node that reads nothing, with one part out there, and a second one whose
+// frame waits for the full socket.
+func jammed(t *testing.T) (c *Client, s *sink, peer net.Conn, big broker.Attempt) {
+	t.Helper()
+	c, s = client(t, 8, 0)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	c.Update([]broker.Node{{ID: "n", Addr: l.Addr().String()}})
 	c.send("n", attempt(1))
-	peer, err := l.Accept() // and reads nothing
-	if err != nil {
+	if peer, err = l.Accept(); err != nil { // and reads nothing
 		t.Fatal(err)
 	}
-	defer peer.Close()
+	t.Cleanup(func() { peer.Close() })
 	var cn *conn
 	testkit.Eventually(t, "the first frame has left", func() bool {
 		c.mu.Lock()
@@ -205,17 +207,34 @@
 		cn.node.usual = time.Minute // so that it does not count as silent
 		return cn.sock != nil && cn.sock.Written() > 0
 	})
-	big := attempt(2)
+	big = attempt(2)
 	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
 	c.send("n", big)
 	if cn.sock.Backlog() == 0 {
 		t.Fatal("the big frame left whole")
 	}
+	return c, s, peer, big
+}
+
+func TestPartialWriteNeverRan(t *testing.T) {
+	_, s, _, _ := jammed(t)
 	// The connection's bytes do not leave: it is given up, and nobody else waits on it.
 	s.wait(t, 2, decide.Unreachable)
 	s.wait(t, 1, decide.Broken)
 }
 
+// A part whose frame waits for a full socket does not begin once it has been given up,
+// its client having left maybe: the node, which reads again at once, never gets it whole.
+func TestNothingBeginsBehindAFullSocket(t *testing.T) {
+	c, s, peer, big := jammed(t)
+	c.Cancel("n", big.ID)
+	got, err := io.CopyN(io.Discard, peer, int64(len(big.Text))) // else the connection ends, in whichever way
+	if err == nil {
+		t.Errorf("the node got all %d bytes of a part that had been given up", got)
+	}
+	s.wait(t, 1, decide.Broken)
+}
+
 func TestPool(t *testing.T) {
 	c, s := client(t, 2, 200*time.Millisecond)
 	n := testkit.NewNode(t, "n", false)
--- a/nodeclient/wait_test.go
+++ b/nodeclient/wait_test.go
@@ -81,6 +81,29 @@
 	s.wait(t, 6, decide.NotSent)
 }
 
+// A node is told the time that is left when the frame leaves, not what was left before it
+// waited for its connection.
+func TestNodeIsToldWhatIsLeft(t *testing.T) {
+	const waited = 20 * time.Second
+	c, s, letGo := held(t)
+	n := testkit.NewNode(t, "n", false)
+	c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+	c.Send("n", []broker.Attempt{attempt(1), attempt(2)})
+	c.mu.Lock()
+	for _, cl := range c.where {
+		cl.since = cl.since.Add(-waited)
+	}
+	c.mu.Unlock()
+	letGo()
+	s.wait(t, 1, decide.OK)
+	s.wait(t, 2, decide.OK)
+	for _, call := range n.Calls() {
+		if most := attempt(1).Wait - waited; call.Wait > most {
+			t.Errorf("part %d: told %v, want %v at most", call.Shard, call.Wait, most)
+		}
+	}
+}
+
 // A part that is given up while it waits, and sent again by another attempt to the same
 // node, leaves once: what went with the first attempt must not take it along.
 func TestPartSentAnewWhileItsConnectionIsMade(t *testing.T) {
