Save up a quarter of a window at a cold node, and begin with a share of a call

Now only a quarter of the told fall time is saved up, and the share is 0.75. Where parts share calls, a root began with room for a part and sent a call of four: up to four times its share for as long as a start lasts with 350 roots. It begins with a random share of its usual call.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -38,7 +39,8 @@
 	cold := Addr(3)
 	cell := func(a Addr) bool { return int(a-1)%cells == 2 }
 	for _, roots := range []int{2, 20, 30, 350} {
-		for _, bundle := range []int{1, 4} {
+		for i, bundle := range []int{1, 4, 1, 4} {
+			draw := uint64(1 + 4*(i/2))
 			for _, c := range []struct {
 				name    string
 				fails   float64 // when the others of the cell do, after the start
@@ -46,11 +48,12 @@
 				rests   float64 // how long nothing is asked for before that
 			}{{"told late", told, false, 0}, {"alone later", told + 3000, false, 0}, {"alone after a rest", told + 4000, false, 3000},
 				{"restarted", told + 1000, true, 0}} {
-				t.Run(fmt.Sprintf("%d roots, calls of %d, %s", roots, bundle, c.name), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d roots, calls of %d, %s, draw %d", roots, bundle, c.name, draw), func(t *testing.T) {
 					t.Parallel()
 					s := large(roots, cells)
 					s.BundleMax = bundle
 					f := newFleet(t, s, members(nodes, cells))
+					f.rng = rand.New(rand.NewPCG(draw, draw+1))
 					fails := math.Inf(1)
 					f.node = func(_ int, a Addr) (Outcome, float64) {
 						switch {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,6 @@
 package decide
 
-// Every decision, in reading order: tuned values, state, the turn, what events teach, health, the pick,
-// sending, copies, admission, replies, p, budgets, the list. The interface stands in api.go.
+// Every decision, in reading order, from the tuned values to the list. The interface stands in api.go.
 
 import (
 	"cmp"
@@ -57,7 +56,8 @@
 	ownShare   = 0.15  // further attempts a part earns where no budget is told: modest
 	ownFloor   = 10    // and those that need no earning
 	ownSpanMs  = 10000 // over this window
-	coldShare  = 0.65  // of the told fall budget: other roots may carry more traffic than we do
+	coldShare  = 0.75  // of the told fall budget: other roots may carry more traffic than we do
+	coldSaved  = 0.25  // of the told fall time, over which a root saves up what it does not send
 	rateSpanMs = 5000  // window of the usual send rate: long beside gaps between sends
 	askFirstMs = 100   // first pause before asking for the list again; doubles, with jitter
 	calmRise   = 0.05  // the calm level is relearned upwards by this share at each look at p
@@ -160,7 +160,7 @@
 	tenants                []flow    // what each tenant sent here inside its allowance
 	usualV, seen           float64   // smoothed worth for work of the queries that come; how many
 	extras, taken          []float64 // times: further attempts, and what was taken in
-	sent, died             flow      // sends, and attempts under which a replica died
+	sent, called, died     flow      // sends, the calls they were in, and attempts under which a replica died
 	borne, units, judgedAt float64   // answers, and warm replicas times ms, fading over ColdMs; when
 	lived, lost            flow      // replicas that lived on after a connection broke, or refused the next part
 	average, typical       float64   // mean and median latency of replicas
@@ -173,7 +173,7 @@
 
 // New returns a root that has just started.
 func New(s Settings, seed uint64) *Root {
-	s.Cells = max(1, s.Cells)
+	s.Cells, s.BundleMax = max(1, s.Cells), max(1, s.BundleMax)
 	r := &Root{
 		s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		replicas: map[Addr]*replica{}, groups: map[[2]int]*group{}, parts: map[uint64]*part{},
@@ -192,8 +192,7 @@
 
 // Step applies all events of one turn, as answers that land together must all be known, then decides.
 func (r *Root) Step(now float64, events []Event, out []Action) []Action {
-	r.out, r.turn = out, r.turn+1
-	r.now, r.stalled, r.born = now, 0, cmp.Or(r.born, now)
+	r.out, r.turn, r.now, r.stalled, r.born = out, r.turn+1, now, 0, cmp.Or(r.born, now)
 	if late := now - r.sweepAt; len(r.open) > 0 && late > sweepTicks*r.s.TickMs {
 		r.stalled, r.absent = late, r.absent+late // our own timer came late: this root stood still
 	}
@@ -246,8 +245,7 @@
 		if c.LateShare == 0 { // past the aim nothing is earned: end there
 			q.end = min(q.end, q.aim)
 		}
-		r.byNumber[q.number] = q
-		r.fresh = append(r.fresh, q)
+		r.byNumber[q.number], r.fresh = q, append(r.fresh, q)
 	case PartCame:
 		r.taken = append(r.taken, r.now)
 		q := r.byNumber[e.Number]
@@ -259,8 +257,7 @@
 			r.fresh = append(r.fresh, q)
 		}
 		p := &part{id: e.ID, q: q, shard: e.Shard, weight: e.Weight}
-		q.parts = append(q.parts, p)
-		r.parts[p.id] = p
+		q.parts, r.parts[p.id] = append(q.parts, p), p
 	case AttemptDone:
 		if p := r.parts[e.ID]; p != nil && uint(e.Attempt) < uint(len(p.tries)) && p.tries[e.Attempt].open {
 			r.finished(p, e)
@@ -289,8 +286,7 @@
 // finished takes in the outcome of one attempt.
 func (r *Root) finished(p *part, e *Event) {
 	a := p.tries[e.Attempt]
-	a.open = false
-	a.unrun = e.Outcome == Rejected || e.Outcome == Unreachable || e.Outcome == NotSent
+	a.open, a.unrun = false, e.Outcome == Rejected || e.Outcome == Unreachable || e.Outcome == NotSent
 	a.quick = a.unrun && e.Outcome != Rejected || e.Outcome == Failed && r.awake()-a.woke < r.typical/2
 	h, c, age := a.at, &r.classes[p.q.class], r.awake()-a.woke
 	h.down = h.down && e.Outcome > Rejected
@@ -516,7 +512,7 @@
 			n++
 		}
 	}
-	if shared && len(h.out) > 0 && h.out[len(h.out)-1].turn == r.turn {
+	if r.joins(h) {
 		n -= 1 + 1e-5
 	}
 	return n
@@ -605,17 +601,23 @@
 // holders are the ready replicas that hold the part's shard.
 func (r *Root) holders(p *part) []*replica { return r.cells[uint(p.shard)%uint(len(r.cells))] }
 
+// joins says that what h is sent now joins a call of this turn.
+func (r *Root) joins(h *replica) bool {
+	return r.s.BundleMax > 1 && len(h.out) > 0 && h.out[len(h.out)-1].turn == r.turn
+}
+
 // coldRoom keeps a cold replica from being pushed over: a root sends it, on average, its part of the told
-// budget, by what warm ones have borne, and at first a random share of a part; what joins a call is owed.
+// budget, by what warm ones have borne, and at first a random share of a call; what joins a call is owed.
 func (r *Root) coldRoom(h *replica) bool {
-	if joins := r.s.BundleMax > 1 && len(h.out) > 0 && h.out[len(h.out)-1].turn == r.turn; joins || !r.cold(h) {
+	if r.joins(h) || !r.cold(h) {
 		return true
 	}
-	allowed := coldShare * r.s.FallTimes * r.warmth(h) * r.borne / max(1, r.units)
+	may := coldShare * r.s.FallTimes * r.warmth(h) * r.borne / max(1, r.units)
 	if h.filledAt < h.told { // what it was sent before is not ours to know, or was sent as to a warm one
-		h.filledAt, h.mayTake = h.told, r.rng.Float64()
+		size := (float64(r.s.BundleMax) + r.sent.value(r.now)) / (1 + r.called.value(r.now)) // of a call
+		h.filledAt, h.mayTake = h.told, 1-size*r.rng.Float64()
 	}
-	h.mayTake, h.filledAt = min(h.mayTake+allowed*(r.now-h.filledAt), max(1, allowed*r.s.FallMs)), r.now
+	h.mayTake, h.filledAt = min(h.mayTake+may*(r.now-h.filledAt), max(1, coldSaved*may*r.s.FallMs)), r.now
 	return h.mayTake >= 1
 }
 
@@ -625,10 +627,11 @@
 	if len(p.tries) > 0 && !r.cheap(p) {
 		r.extras = append(r.extras, r.now)
 	}
-	p.tries, h.out = append(p.tries, a), append(h.out, a)
-	a.load = float64(len(h.out))
-	h.trialAt = r.now + r.trialGap()
-	h.mayTake-- // counts while it is cold
+	if !r.joins(h) {
+		r.called.add(r.now)
+	}
+	p.tries, h.out, a.load = append(p.tries, a), append(h.out, a), float64(len(h.out)+1)
+	h.trialAt, h.mayTake = r.now+r.trialGap(), h.mayTake-1 // the latter counts while it is cold
 	r.sent.add(r.now)
 	ms := max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)
 	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: ms, Doubt: r.doubted(h)})
@@ -800,13 +803,11 @@
 
 // admit sends all parts of a query, or turns it away at once when its end is predicted too late.
 func (r *Root) admit(q *query) {
-	c := &r.classes[q.class]
-	k := float64(len(q.parts))
+	c, k := &r.classes[q.class], float64(len(q.parts))
 	ms := r.place(q)
 	q.came, q.predicted = r.now, ms
 	if !q.second {
-		r.open = append(r.open, q)
-		c.k = toward(c.k, k, 0.1)
+		r.open, c.k = append(r.open, q), toward(c.k, k, 0.1)
 		v, until := c.Worth, q.aim
 		if !r.s.WorthByWork {
 			v /= max(1, k*c.mean)
