End no connection behind an answer while a request sent ahead is unread

Found by reading: finish() asked whether the parser holds bytes, not whether the system or the reading goroutine does. A client that sends ahead, at a stop or while places are scarce, lost what was not read yet: dropped with no answer. The connection now stays, and is ended behind the next answer or once it rests.

--- a/httpfront/crossing_test.go
+++ b/httpfront/crossing_test.go
@@ -158,6 +158,29 @@
 	}
 }
 
+// A request that the client has sent ahead, and that is not read yet, is answered before a
+// connection is ended behind an answer, by a stop or as places are scarce.
+func TestRequestSentAheadAtAStop(t *testing.T) {
+	f, core, loop := startAt(t, func(l listener) listener { return l })
+	client, in := dial(t, f)
+	say(t, client, named("a"))
+	testkit.Eventually(t, "the query is taken", func() bool { return core.taken() == 1 })
+	f.draining.Store(true)
+	letGo := holdReads(t, loop)
+	say(t, client, named("b"))
+	core.answer(1, broker.Reply{Verdict: broker.Served})
+	if res, _ := read(t, in); res.StatusCode != http.StatusOK || res.Close {
+		t.Errorf("the first: status %d close %v", res.StatusCode, res.Close)
+	}
+	letGo()
+	testkit.Eventually(t, "the next query is taken", func() bool { return core.taken() == 2 })
+	core.answer(2, broker.Reply{Verdict: broker.Served})
+	if res, _ := read(t, in); res.StatusCode != http.StatusOK {
+		t.Errorf("the second: status %d", res.StatusCode)
+	}
+	testkit.Eventually(t, "the connection is ended", func() bool { return f.list()[0].over(idle) || f.list()[0].over(leaving) })
+}
+
 // A request that comes after the connection's end is not sent on, and the client sees
 // an end, no reset.
 func TestRequestAfterAnEnd(t *testing.T) {
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -382,6 +382,7 @@
 	since  time.Time // when it was last waited for anew
 	spoke  bool      // a byte has come
 	ahead  int       // bytes of the bodies that wait
+	inData bool      // Data is at work
 	ending bool      // nothing more is read from it
 	ended  bool      // our side of the stream is over
 	closed bool
@@ -410,6 +411,8 @@
 		return // read all the same: a close now would reset what the peer has yet to read
 	}
 	defer c.place()
+	c.inData = true
+	defer func() { c.inData = false }()
 	if !c.parser.Mid() {
 		c.since = time.Now()
 	}
@@ -594,7 +597,8 @@
 
 func (c *conn) finish(s *slot, render func(last bool) []byte) {
 	ends := c.f.draining.Load() || c.f.crowded()
-	s.last = s.close || ends && s == c.slots[len(c.slots)-1] && c.parser.Buffered() == 0
+	ends = ends && s == c.slots[len(c.slots)-1] && c.parser.Buffered() == 0 && !c.sock.Unread(c.inData)
+	s.last = s.close || ends
 	s.done, s.out = true, render(s.last)
 	c.advance()
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -237,14 +237,31 @@
 		if c.reading || c.Backlog() > 0 {
 			return
 		}
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if errors.Is(err, syscall.EAGAIN) { // else bytes wait, or the news of its end
+		if _, err := peek(fd); errors.Is(err, syscall.EAGAIN) { // else bytes wait, or the news of its end
 			ended = syscall.Shutdown(int(fd), syscall.SHUT_WR) == nil
 		}
 	})
 	return ended && err == nil
 }
 
+// Unread says whether the other side has said something that the handler does not know
+// yet. inData is for the handler that asks from within Data: what it was given there it
+// knows.
+func (c *Conn) Unread(inData bool) bool {
+	unread := false
+	err := c.control(func(fd uintptr) {
+		n, err := peek(fd)
+		unread = c.reading && !inData || err == nil && n > 0
+	})
+	return unread && err == nil
+}
+
+// peek looks for a byte to be read, without taking it; 0 is the other side's end.
+func peek(fd uintptr) (int, error) {
+	n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // PeerGone says whether the other side has ended its stream or the connection, also
 // where bytes that it has sent before are still to be read.
 func (c *Conn) PeerGone() bool {
@@ -277,7 +294,7 @@
 func (c *Conn) HungUp() bool {
 	ended := false
 	err := c.control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := peek(fd)
 		switch {
 		case err == nil:
 			ended = n == 0
