End a start that fails at once, and a stop during a call to discovery

Its goroutines (SIGQUIT, which the test now sends before it gives up on a process) stand in the socket engine's Stop, called as the start had failed: its address was taken. The engine's goroutine, which had not begun yet, clears the mark that tells it to stop. The engine is waited for 2 s at most; in that one case its goroutine stays until the program ends, as it does then.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -95,13 +95,21 @@
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	late := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
-	defer late.Stop()
-	if err := p.cmd.Wait(); err != nil {
+	if err := p.end(); err != nil {
 		t.Fatalf("exit: %v\n%s", err, p.text())
 	}
 }
 
+// end waits for a process that has been told to stop. One that does not says what its
+// goroutines do.
+func (p *process) end() error {
+	late := time.AfterFunc(20*time.Second, func() {
+		_ = p.cmd.Process.Signal(syscall.SIGQUIT) // it has ended just now, or else ends by this
+	})
+	defer late.Stop()
+	return p.cmd.Wait()
+}
+
 // At SIGTERM the program takes what still comes, answers all it has taken, and
 // exits with 0.
 func TestServeAndStop(t *testing.T) {
--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -222,11 +222,9 @@
 	}
 	for _, p := range all {
 		_ = p.cmd.Process.Signal(syscall.SIGTERM) // fails where it has ended already
-		late := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
-		if err := p.cmd.Wait(); err != nil {
+		if err := p.end(); err != nil {
 			t.Errorf("exit: %v\n%s", err, p.text())
 		}
-		late.Stop()
 	}
 }
 
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -208,11 +208,12 @@
 		c.conn, c.parser = conn, http1.Parser{MaxBody: maxList, Answers: true}
 	}
 	conn := c.conn
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	defer stop()
 	if err := conn.SetDeadline(start.Add(within)); err != nil {
 		return nil, fmt.Errorf("calling discovery: %w", err)
 	}
+	// Only now: ctx may have ended already, and this deadline must be the last.
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	defer stop()
 	if _, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + c.opts.Addr + "\r\n\r\n")); err != nil {
 		return nil, fmt.Errorf("calling discovery: %w", err)
 	}
--- a/discovery/told_test.go
+++ b/discovery/told_test.go
@@ -311,3 +311,53 @@
 		last = time.Now()
 	}
 }
+
+// endingConn is a connection on which a stop comes in the moment that a call sets its
+// deadline: if the stop's own is set before that, it comes first.
+type endingConn struct {
+	net.Conn
+	stop  context.CancelFunc
+	ended chan struct{} // closed once the stop's deadline is set
+	once  sync.Once
+}
+
+// SetDeadline implements net.Conn.
+func (c *endingConn) SetDeadline(at time.Time) error {
+	if time.Until(at) > time.Second {
+		c.stop()
+		select {
+		case <-c.ended:
+		case <-time.After(50 * time.Millisecond): // it comes after
+		}
+		return c.Conn.SetDeadline(at)
+	}
+	defer c.once.Do(func() { close(c.ended) })
+	return c.Conn.SetDeadline(at)
+}
+
+// A stop that comes while a call is being made ends the call: its time for the answer must
+// not take the place of the stop's.
+func TestStopEndsACallThatIsBeingMade(t *testing.T) {
+	s := newScript(t, func(int, net.Conn) {}) // answers nothing
+	conn, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	c := New(Options{Addr: s.addr, Log: zerolog.Nop()})
+	c.conn = &endingConn{Conn: conn, stop: stop, ended: make(chan struct{})}
+	defer c.hangUp()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		_, _ = c.call(ctx, "/v1/endpoints", watchFor) // its error is the stop's
+	}()
+	select {
+	case <-over:
+	case <-time.After(10 * time.Second):
+		_ = conn.Close()
+		<-over
+		t.Error("the call went on after the stop")
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -3,12 +3,14 @@
 package netio
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -56,6 +58,8 @@
 	// other side has ended after so many reads, whatever is still to be read: there
 	// must be more of them than the system holds for a connection.
 	readTimes = 1024
+	// stopWithin is how long the engine may take to stop.
+	stopWithin = 2 * time.Second
 )
 
 // maxDescriptor bounds the engine's table of connections, which goes by descriptor:
@@ -118,9 +122,12 @@
 }
 
 // Stop ends the loop and closes its connections; their handlers have been told when
-// it returns.
+// it returns. The engine forgets that it has been told to stop where its goroutine had
+// not begun yet: a start that fails at once must end all the same, with its error.
 func (l *Loop) Stop() {
-	l.engine.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	_ = l.engine.Shutdown(ctx) // fails only then
 	l.hand.stop()
 }
 
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -361,3 +362,23 @@
 		}
 	}
 }
+
+// A loop that is stopped before its engine's goroutine has begun, as by a start that
+// fails at once, stops all the same.
+func TestStopBeforeTheEngineHasBegun(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // so that it begins no sooner than we wait
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		loop.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the loop does not stop")
+	}
+}
