--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -373,9 +373,16 @@
 	p.stop(t)
 }
 
+// listened counts the addresses that freeAddr has given.
+var listened atomic.Uint32
+
+// freeAddr returns an address at which a process that is started next can listen. Each
+// has a loopback address to itself, this process's and its number: of 127.0.0.1 any
+// connection that is made meanwhile could get the port.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := listened.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n>>7&0xff, n&0x7f+1))
 	if err != nil {
 		t.Fatal(err)
 	}
