Take only a refusal that stood in discovery's queue for a sign of too many brokers

Any three refusals in a row let one of more than 32 brokers stay away for over 6 s, also where a discovery that was down refused at once and was back a moment later: a change counts as told 6 s after that. Only refusals that took 1 s and more lengthen pauses beyond 3.25 s now; those of an overbooked discovery take 2 s. TestRefusalAtOnceIsNoQueue fails without it. Lists that are pushed never had it.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -26,6 +26,8 @@
 	// dialWithin and answerWithin bound a call that does not wait, the second in all.
 	dialWithin   = time.Second
 	answerWithin = 2 * time.Second
+	// queuedFor is how long a refused call must have taken to have stood in a queue.
+	queuedFor = answerWithin / 2
 	// A watch may fall silent, and then tells nothing for as long as it is waited for.
 	// What it misses counts as told 2 s after that: it is late this much after its wait,
 	// and opened anew within so much more.
@@ -107,6 +109,7 @@
 		return
 	}
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := c.step(ctx)
 		if err == nil {
 			pace.Answered()
@@ -117,10 +120,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		var refused statusError
 		pause := pace.Anew()
 		if again := c.silent; !errors.Is(err, errSilent) || again {
-			pause = pace.Failed(errors.As(err, &refused))
+			pause = pace.Failed(overbooked(err, time.Since(began)))
 		}
 		c.silent = errors.Is(err, errSilent)
 		// What is in hand stands: the module works on with its old list.
@@ -129,6 +131,13 @@
 	}
 }
 
+// overbooked says whether discovery turned a call away that had stood in its queue. One
+// that refuses at once may be back at any moment.
+func overbooked(err error, took time.Duration) bool {
+	var refused statusError
+	return errors.As(err, &refused) && took >= queuedFor
+}
+
 // sleep waits for d; it returns false once ctx ends.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/discovery/pace.go
+++ b/discovery/pace.go
@@ -70,8 +70,9 @@
 // Failed returns the pause before the next call after one that failed: half to
 // one and a half times a figure that doubles, and no longer than allowed. Near that
 // it is drawn from the upper quarter, so that none comes oftener than it must.
-// refused says that discovery itself turned the call away: where it goes on to and many
-// share it, more ask than it can answer, and to ask as often as ever would help none.
+// refused says that discovery turned the call away after it had stood in its queue: where
+// it goes on to and many share it, more ask than it can answer, and to ask as often as ever
+// would help none.
 func (p *Pace) Failed(refused bool) time.Duration {
 	if p.refusals++; !refused {
 		p.refusals = 0
--- a/discovery/told_test.go
+++ b/discovery/told_test.go
@@ -60,6 +60,31 @@
 	}
 }
 
+// Only a refusal that had stood in discovery's queue tells of too many brokers: one that
+// comes at once, or a call that failed otherwise, lengthens no pause beyond what is allowed.
+func TestRefusalAtOnceIsNoQueue(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		took time.Duration
+		want bool
+	}{
+		{fmt.Errorf("a call: %w", statusError(503)), answerWithin, true},
+		{statusError(503), 5 * time.Millisecond, false},
+		{errSilent, answerWithin, false},
+		{io.ErrUnexpectedEOF, answerWithin, false},
+	} {
+		p := NewPace(350, away(told), 1)
+		for range 12 {
+			if got := overbooked(c.err, c.took); got != c.want {
+				t.Fatalf("%v after %v: got %v", c.err, c.took, got)
+			}
+			if d := answerWithin + p.Failed(overbooked(c.err, c.took)) + spare; !c.want && d > told {
+				t.Errorf("%v after %v: %v go by", c.err, c.took, d)
+			}
+		}
+	}
+}
+
 // script is a discovery whose calls are answered by hand, in their order.
 type script struct {
 	addr  string
