--- /dev/null
+++ b/broker/starts_test.go
@@ -0,0 +1,64 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"onyxsail/decide"
+)
+
+// toldAge is how old the module takes a node to be that the latest news named last.
+func toldAge(c *Core, now time.Time) time.Duration {
+	members := c.events[len(c.events)-1].Members
+	return duration(c.ms(now) - members[len(members)-1].ReadyAt)
+}
+
+// A node's start is told as a time of a wall clock, and wall clocks may be stepped, this
+// machine's or the one's that wrote it: a node that is told to have started while the
+// list is followed must not count as warm for it.
+func TestStartsAreDatedWithoutTrustInWallClocks(t *testing.T) {
+	t.Run("the first list", testStartsOfTheFirstList)
+	const warmUp = 15 * time.Second
+	for _, step := range []time.Duration{0, 5 * time.Second, -5 * time.Second, time.Hour, -time.Hour} {
+		c, _ := newCore(3)
+		c.opts.Settings.ColdMs = float64(warmUp.Milliseconds())
+		c.turn()
+		now := c.start.Add(time.Minute)
+		const lag = 2 * time.Second // of the list
+		tell := func(id string, at time.Time, late time.Duration) time.Duration {
+			started := c.start.Round(0).Add(at.Sub(c.start) - late - step)
+			c.roster(Roster{Kind: decide.ListDelta, Nodes: []Node{{ID: id, Addr: id, Started: started}}}, at)
+			return toldAge(c, at)
+		}
+		for i, late := range []time.Duration{lag, lag + 3*time.Second, lag} {
+			at := now.Add(time.Duration(i) * time.Second)
+			if age := tell(string(rune('p'+i)), at, late); age < 0 || age > late+time.Millisecond {
+				t.Errorf("step %v: a node that started %v ago counts as %v old", step, late, age)
+			}
+		}
+		at := now.Add(time.Minute) // its own machine's clock has been stepped back
+		if age := tell("z", at, time.Hour); age != 0 {
+			t.Errorf("step %v: a start that has just come to be told counts as %v old", step, age)
+		}
+		if again := tell("z", at.Add(time.Second), time.Hour+time.Second); again != time.Second {
+			t.Errorf("step %v: told once more, it counts as %v old, want a second", step, again)
+		}
+	}
+}
+
+// The list that a broker begins with is believed, as nothing else tells of those starts;
+// none lies in the future.
+func testStartsOfTheFirstList(t *testing.T) {
+	c, _ := newCore(3)
+	c.turn()
+	now := c.start.Add(time.Second)
+	for started, want := range map[time.Duration]time.Duration{-time.Hour: time.Hour, -4 * time.Second: 4 * time.Second, time.Hour: 0} {
+		fresh, _ := newCore(3)
+		fresh.queue.take()
+		fresh.start, fresh.startMs = c.start, c.startMs
+		fresh.roster(Roster{Kind: decide.ListCached, Nodes: []Node{{ID: "a", Addr: "a", Started: now.Round(0).Add(started)}}}, now)
+		if age := toldAge(fresh, now); age-want > time.Millisecond || want-age > time.Millisecond {
+			t.Errorf("started %v from now: counts as %v old", started, age)
+		}
+	}
+}
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -186,6 +186,19 @@
 // jammed is a node that reads nothing, with one part out there, and a second one whose
 // frame waits for the full socket.
 func jammed(t *testing.T) (c *Client, s *sink, peer net.Conn, big broker.Attempt) {
+	t.Helper()
+	c, s, peer = jammedNode(t)
+	big = attempt(2)
+	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
+	c.send("n", big)
+	if c.nodes["n"].conns[0].sock.Backlog() == 0 {
+		t.Fatal("the big frame left whole")
+	}
+	return c, s, peer, big
+}
+
+// jammedNode is a node that reads nothing, with one part out there.
+func jammedNode(t *testing.T) (c *Client, s *sink, peer net.Conn) {
 	t.Helper()
 	c, s = client(t, 8, 0)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -207,13 +220,7 @@
 		cn.node.usual = time.Minute // so that it does not count as silent
 		return cn.sock != nil && cn.sock.Written() > 0
 	})
-	big = attempt(2)
-	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
-	c.send("n", big)
-	if cn.sock.Backlog() == 0 {
-		t.Fatal("the big frame left whole")
-	}
-	return c, s, peer, big
+	return c, s, peer
 }
 
 func TestPartialWriteNeverRan(t *testing.T) {
@@ -223,6 +230,21 @@
 	s.wait(t, 1, decide.Broken)
 }
 
+// A frame that waits for a full socket does not leave once its part may not begin any
+// more, for its class's window say, or its node's drain: the node reads again just then.
+func TestNoFrameLeavesPastItsLatestBeginning(t *testing.T) {
+	c, s, peer := jammedNode(t)
+	big := attempt(2)
+	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
+	big.Latest = time.Now().Add(60 * time.Millisecond)
+	c.send("n", big)
+	time.Sleep(time.Until(big.Latest.Add(20 * time.Millisecond)))
+	if got, err := io.CopyN(io.Discard, peer, int64(len(big.Text))); err == nil {
+		t.Errorf("the node got all %d bytes of a part past its time", got)
+	}
+	s.wait(t, 2, decide.Unreachable)
+}
+
 // A part whose frame waits for a full socket does not begin once it has been given up,
 // its client having left maybe: the node, which reads again at once, never gets it whole.
 func TestNothingBeginsBehindAFullSocket(t *testing.T) {
