Answer all before the earliest SIGKILL, date starts, hold frames to their time

Cause: Stop waited for each query's own deadline (4 s, where SIGKILL may come 3.7 s after SIGTERM); Core compared started_ms with a wall clock; a frame behind a full socket left up to 0.35 s after the checks of drain, window and deadline. Change: Core.EndBy at longest deadline + 0.7 s - 0.25 s; startTimes dates told starts by the soonest told; a frame leaves whole within 0.1 s and its Latest, or its connection closes.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -66,6 +66,8 @@
 	parts   map[uint64]*part
 	tries   map[AttemptID]*try
 	timers  timers
+	starts  startTimes
+	endBy   time.Time // when all that is open must have its answer; zero: each in its own time
 	lastID  uint64
 	lastTry AttemptID
 	number  float64
@@ -80,7 +82,8 @@
 
 type node struct {
 	Node
-	left time.Time // when it was told to be draining or gone
+	left    time.Time // when it was told to be draining or gone
+	readyAt float64   // its start on the core's clock
 }
 
 type query struct {
@@ -120,7 +123,7 @@
 	now := time.Now()
 	return &Core{
 		opts: o, root: decide.New(o.Settings, o.Seed), queue: newQueue(o.Limits.QueueLimit),
-		start: now, startMs: float64(now.UnixMicro()) / 1000,
+		start: now, startMs: float64(now.UnixMicro()) / 1000, starts: startTimes{warmUp: duration(o.Settings.ColdMs)},
 		names: map[string]decide.Addr{}, nodes: map[decide.Addr]*node{},
 		queries: map[QueryID]*query{}, open: map[string]*query{}, byEvent: map[uint64]*query{}, parts: map[uint64]*part{}, tries: map[AttemptID]*try{},
 	}
@@ -153,6 +156,10 @@
 // Roster hands news of the list to the core.
 func (c *Core) Roster(r Roster) { c.queue.put(input{kind: inRoster, roster: r}) }
 
+// EndBy tells by when all that is open, and what comes from now on, must have its final
+// answer, though its client would wait longer: the process may be killed then.
+func (c *Core) EndBy(at time.Time) { c.queue.put(input{kind: inEndBy, at: at}) }
+
 // SetLimits changes the limits at the next turn's boundary.
 func (c *Core) SetLimits(l Limits) { c.queue.put(input{kind: inLimits, limits: l}) }
 
@@ -200,7 +207,9 @@
 	}
 	for len(c.timers) > 0 && !c.timers[0].at.After(now) {
 		t := heap.Pop(&c.timers).(timer)
-		if t.try == 0 {
+		if t.end {
+			c.endAll(now)
+		} else if t.try == 0 {
 			c.events = append(c.events, decide.Event{Kind: decide.TimerFired, Token: t.token})
 		} else if a := c.tries[t.try]; a != nil {
 			c.opts.Nodes.Cancel(a.node, a.id)
@@ -254,6 +263,12 @@
 		}
 	case inRoster:
 		c.roster(in.roster, now)
+	case inEndBy:
+		c.endBy = in.at
+		for _, q := range c.queries {
+			q.endBy(c.endBy)
+		}
+		heap.Push(&c.timers, timer{at: in.at, end: true})
 	case inLimits:
 		c.opts.Limits = in.limits
 		c.queue.setLimit(in.limits.QueueLimit)
@@ -268,6 +283,7 @@
 	if c.opts.Observer != nil {
 		c.opts.Observer.Taken(q.id, &q.Query, now)
 	}
+	q.endBy(c.endBy)
 	left := q.Budget - now.Sub(q.Came)
 	// The parts' ids are made of the query's: under one id the answers of two
 	// open queries could be mixed up. Only the newcomer pays for that.
@@ -280,7 +296,11 @@
 		return
 	}
 	if left <= 0 {
-		c.finish(q, Reply{Verdict: Expired}, now)
+		verdict := Expired
+		if !c.endBy.IsZero() && !now.Before(c.endBy) { // nothing of it was sent: another broker may take it
+			verdict = Refused
+		}
+		c.finish(q, Reply{Verdict: verdict}, now)
 		return
 	}
 	c.held += 1 + len(q.Parts)
@@ -343,7 +363,8 @@
 			}
 		}
 	}
-	for _, n := range r.Nodes {
+	dated := c.dateStarts(&r, now)
+	for i, n := range r.Nodes {
 		addr, ok := c.names[n.ID]
 		if !ok {
 			c.named++
@@ -353,16 +374,14 @@
 		}
 		own := c.nodes[addr]
 		left := own.left
-		own.Node, own.left = n, time.Time{}
+		own.Node, own.left, own.readyAt = n, time.Time{}, dated[i]
 		if n.State != decide.Ready {
 			own.left = left
 			own.depart(n.State, now)
 		}
-		m := decide.Member{Addr: addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, State: n.State, Size: n.Weight}
-		if !n.Started.IsZero() {
-			m.ReadyAt = float64(n.Started.UnixMicro()) / 1000
-		}
-		e.Members = append(e.Members, m)
+		e.Members = append(e.Members, decide.Member{
+			Addr: addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, State: n.State, Size: n.Weight, ReadyAt: dated[i],
+		})
 	}
 	c.events = append(c.events, e)
 	var all []Node
@@ -626,6 +645,37 @@
 	q.replier.Reply(q.id, r)
 }
 
+// endBy cuts a query's time to end at a moment, if one is given.
+func (q *query) endBy(at time.Time) {
+	if !at.IsZero() {
+		q.Budget = min(q.Budget, at.Sub(q.Came))
+	}
+}
+
+// endAll answers every query that is open; the module hears of it as of a client that
+// has left.
+func (c *Core) endAll(now time.Time) {
+	for _, q := range c.queries {
+		r := Reply{Verdict: Refused}
+		if c.opts.Settings.Classes[q.Class].Effect == decide.Unsafe && q.mayHaveRun() {
+			r.Verdict = Expired
+		}
+		c.events = append(c.events, decide.Event{Kind: decide.ClientLeft, ID: q.event})
+		c.drop(q, now)
+		c.finish(q, r, now)
+	}
+}
+
+// mayHaveRun says whether a part of the query may have run, or may yet.
+func (q *query) mayHaveRun() bool {
+	for _, p := range q.parts {
+		if slices.ContainsFunc(p.tries, func(t *try) bool { return !t.unrun }) {
+			return true
+		}
+	}
+	return false
+}
+
 // abandon ends every query still open when the core is stopped.
 func (c *Core) abandon() {
 	for _, in := range c.queue.close() {
@@ -646,6 +696,7 @@
 	at    time.Time
 	token uint64
 	try   AttemptID // 0: the module's own
+	end   bool      // that of Core.endBy
 }
 
 // timers is a heap by time.
--- a/broker/queue.go
+++ b/broker/queue.go
@@ -16,6 +16,7 @@
 	inProbed
 	inRoster
 	inLimits
+	inEndBy
 )
 
 // input is one thing that reached the core from another goroutine.
@@ -32,6 +33,7 @@
 	took    time.Duration
 	roster  Roster
 	limits  Limits
+	at      time.Time // with inEndBy
 }
 
 // queue holds what waits for the next turn. Only queries can be refused: each
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,6 +43,13 @@
 	// clients all the same: nine in ten that restart must be ready within 10 s, and a
 	// refusal at once, with a time to come back, is more than a closed door.
 	readyWithin = 7 * time.Second
+	// The platform kills a broker killGrace after its longest deadline, which counts as
+	// longestCounted at most, from SIGTERM on at the earliest (PROTOCOL, "Figures"). All
+	// that was taken has its answer stopSpare before: so much for a program that is held up
+	// between the signal and its clock, and for the answers' way.
+	killGrace      = 700 * time.Millisecond
+	longestCounted = 3 * time.Second
+	stopSpare      = 250 * time.Millisecond
 	// toldWithin is when news of the list counts as told once discovery has it and can be
 	// reached, whatever calls have failed before.
 	toldWithin = 6 * time.Second
@@ -353,9 +360,20 @@
 // Stats returns the core's counts.
 func (d *Daemon) Stats() broker.Stats { return d.core.Stats() }
 
+// answerWithin is how long after it was told to stop a broker may take to answer what is
+// open: the platform may kill it soon after.
+func (d *Daemon) answerWithin() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range d.cfg.Settings.Classes {
+		longest = max(longest, time.Duration(class.DeadlineMs*float64(time.Millisecond)))
+	}
+	return min(longest, longestCounted) + killGrace - stopSpare
+}
+
 // Stop takes new connections through the hand-over window, answers all that
 // was taken and ends.
 func (d *Daemon) Stop(ctx context.Context) error {
+	d.core.EndBy(time.Now().Add(d.answerWithin()))
 	window := time.Duration(d.window.Load())
 	d.log.Info().Str("event", "draining").Dur("window", window).Msg("told to stop")
 	ctx, cancel := context.WithTimeout(ctx, window+drainWithin)
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -24,6 +24,9 @@
 	// stuckFor is how long written bytes may wait for a full socket before the
 	// connection counts as broken.
 	stuckFor = 250 * time.Millisecond
+	// A frame leaves whole within frameWithin, or never: the deadline that it tells and the
+	// checks before it are of the moment at which it was written.
+	frameWithin = 100 * time.Millisecond
 	// halfFor is how long a frame that has begun may come to nothing: a length
 	// that says too much never ends, and what waits behind it waits in vain.
 	halfFor = 300 * time.Millisecond
@@ -458,6 +461,9 @@
 	if cn.waiting.IsZero() {
 		cn.waiting = cn.used
 	}
+	if err == nil && end > cn.sock.Written() {
+		cn.watchFrame(end, out)
+	}
 	if err != nil {
 		cn.sock.Close()
 	} else if cn.c.opts.Observer != nil && !gone {
@@ -469,6 +475,28 @@
 	}
 }
 
+// watchFrame closes the connection where a frame that waits for a full socket has not left
+// whole when one of its parts may not begin any more, and after frameWithin.
+func (cn *conn) watchFrame(end int64, calls []broker.Attempt) {
+	until := cn.used.Add(frameWithin)
+	for i := range calls {
+		if latest := calls[i].Latest; !latest.IsZero() && latest.Before(until) {
+			until = latest
+		}
+	}
+	if latest := cn.node.latest; !latest.IsZero() && latest.Before(until) {
+		until = latest
+	}
+	time.AfterFunc(time.Until(until), func() {
+		cn.c.mu.Lock()
+		defer cn.c.mu.Unlock()
+		if !cn.gone && cn.sock.Written() < end {
+			cn.ours = true
+			cn.sock.Close()
+		}
+	})
+}
+
 // tellGone tells the observer whose last byte has left; c.mu is held.
 func (cn *conn) tellGone(now time.Time) {
 	written := cn.sock.Written()
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -187,18 +187,18 @@
 // frame waits for the full socket.
 func jammed(t *testing.T) (c *Client, s *sink, peer net.Conn, big broker.Attempt) {
 	t.Helper()
-	c, s, peer = jammedNode(t)
+	c, s, peer, cn := jammedNode(t)
 	big = attempt(2)
 	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
 	c.send("n", big)
-	if c.nodes["n"].conns[0].sock.Backlog() == 0 {
+	if cn.sock.Backlog() == 0 {
 		t.Fatal("the big frame left whole")
 	}
 	return c, s, peer, big
 }
 
 // jammedNode is a node that reads nothing, with one part out there.
-func jammedNode(t *testing.T) (c *Client, s *sink, peer net.Conn) {
+func jammedNode(t *testing.T) (c *Client, s *sink, peer net.Conn, cn *conn) {
 	t.Helper()
 	c, s = client(t, 8, 0)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -212,7 +212,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { peer.Close() })
-	var cn *conn
 	testkit.Eventually(t, "the first frame has left", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -220,7 +219,7 @@
 		cn.node.usual = time.Minute // so that it does not count as silent
 		return cn.sock != nil && cn.sock.Written() > 0
 	})
-	return c, s, peer
+	return c, s, peer, cn
 }
 
 func TestPartialWriteNeverRan(t *testing.T) {
@@ -233,7 +232,7 @@
 // A frame that waits for a full socket does not leave once its part may not begin any
 // more, for its class's window say, or its node's drain: the node reads again just then.
 func TestNoFrameLeavesPastItsLatestBeginning(t *testing.T) {
-	c, s, peer := jammedNode(t)
+	c, s, peer, _ := jammedNode(t)
 	big := attempt(2)
 	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
 	big.Latest = time.Now().Add(60 * time.Millisecond)
