Add failing tests: interrupted looks, takeovers and dials that fail on this machine

Measured failing, each by a stand-in: with EINTR a client that has gone passes for one that is there and a waiting connection for none; with EMFILE, ENFILE, ENOMEM or ENOSPC an accepted connection is closed; with EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL or ENETUNREACH a node counts as one that refused.

--- /dev/null
+++ b/internal/netio/failures_test.go
@@ -0,0 +1,205 @@
+package netio
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
+
+	"onyxsail/internal/testkit"
+)
+
+// interrupt has the calls that look at a descriptor fail with EINTR now and then: each
+// first one after a success.
+func interrupt(t *testing.T) {
+	recv, look := recvfrom, poll
+	t.Cleanup(func() { recvfrom, poll = recv, look })
+	var calls atomic.Int64
+	recvfrom = func(fd int, b []byte, flags int) (int, syscall.Sockaddr, error) {
+		if calls.Add(1)%2 == 1 {
+			return -1, nil, syscall.EINTR
+		}
+		return recv(fd, b, flags)
+	}
+	poll = func(fds []unix.PollFd, timeout int) (int, error) {
+		if calls.Add(1)%2 == 1 {
+			return -1, unix.EINTR
+		}
+		return look(fds, timeout)
+	}
+}
+
+// A look that is interrupted is taken again: a client that has gone is not taken for one
+// that is there, nor what waits for nothing.
+func TestInterruptedLooksAreTakenAgain(t *testing.T) {
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	interrupt(t)
+	c, e, peer := pair(t, loop, l)
+	if c.PeerGone() || c.Unread(false) || c.HungUp() {
+		t.Error("gone, unread or hung up before a word")
+	}
+	loop.hold(t, c, func() {
+		if _, err := io.WriteString(peer, "x"); err != nil {
+			t.Fatal(err)
+		}
+		testkit.Eventually(t, "the byte is there", func() bool { return c.Unread(true) })
+		for range 4 {
+			if !c.Unread(true) {
+				t.Error("a byte that waits is not seen")
+			}
+			if c.EndIfQuiet() {
+				t.Error("ended over a byte that waits")
+			}
+		}
+		peer.Close()
+		testkit.Eventually(t, "the end is there", c.PeerGone)
+		for range 4 {
+			if !c.PeerGone() {
+				t.Error("an end that has come is not seen")
+			}
+		}
+	})
+	<-e.closed
+	waiting, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waiting.Close()
+	for range 4 {
+		if !Waiting(l.(*net.TCPListener)) {
+			t.Error("a connection that waits is not seen")
+		}
+	}
+}
+
+// hold keeps the engine from reading a connection while f runs.
+func (l *Loop) hold(t *testing.T, c *Conn, f func()) {
+	t.Helper()
+	other, _, peer := pair(t, l, listen(t))
+	gate, held := make(chan struct{}), make(chan struct{})
+	other.h = &gated{held: held, gate: gate}
+	if _, err := io.WriteString(peer, "x"); err != nil {
+		t.Fatal(err)
+	}
+	<-held
+	defer peer.Close()
+	defer close(gate)
+	f()
+}
+
+// gated holds the engine's goroutine in its Data.
+type gated struct{ held, gate chan struct{} }
+
+func (g *gated) Data([]byte) {
+	close(g.held)
+	<-g.gate
+}
+func (g *gated) Closed(error) {}
+
+// scarce is a connection of a machine that is out of descriptors for some calls.
+type scarce struct {
+	*net.TCPConn
+	failure error
+	times   *atomic.Int64
+}
+
+func (s scarce) SyscallConn() (syscall.RawConn, error) {
+	raw, err := s.TCPConn.SyscallConn()
+	return scarceRaw{raw, s}, err
+}
+
+type scarceRaw struct {
+	syscall.RawConn
+	of scarce
+}
+
+func (r scarceRaw) Control(f func(uintptr)) error {
+	if r.of.times.Add(-1) >= 0 {
+		return r.of.failure
+	}
+	return r.RawConn.Control(f)
+}
+
+// A connection that the system has accepted is not closed for want of a descriptor, of
+// memory or of a watch: its client may have sent a request. It is taken over later.
+func TestConnectionOutlivesAFailedTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failure syscall.Errno
+		adding  bool // it comes when the engine adds the connection
+	}{
+		{"EMFILE", syscall.EMFILE, false},
+		{"ENFILE", syscall.ENFILE, false},
+		{"ENOMEM", syscall.ENOMEM, true},
+		{"ENOSPC", syscall.ENOSPC, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			loop, err := New(1 << 20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer loop.Stop()
+			l := listen(t)
+			peer, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			if _, err := io.WriteString(peer, "request"); err != nil {
+				t.Fatal(err)
+			}
+			accepted, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			times := &atomic.Int64{}
+			times.Store(3)
+			var conn net.Conn = accepted
+			if !c.adding {
+				conn = scarce{accepted.(*net.TCPConn), c.failure, times}
+			} else {
+				add := loop.add
+				loop.add = func(nc *nbio.Conn) error {
+					if times.Add(-1) >= 0 {
+						_ = nc.CloseWithError(c.failure) // as the engine does
+						return c.failure
+					}
+					return add(nc)
+				}
+			}
+			e := newEar()
+			took, err := loop.Attach(conn, e, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := <-e.got; got != "request" {
+				t.Errorf("got %q", got)
+			}
+			if _, err := took.Write([]byte("answer")); err != nil {
+				t.Error(err)
+			}
+			if err := peer.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			answer := make([]byte, len("answer"))
+			if _, err := io.ReadFull(peer, answer); err != nil {
+				t.Error(err)
+			}
+			select {
+			case <-e.closed:
+				t.Error("told as closed")
+			default:
+			}
+		})
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -35,7 +35,8 @@
 	// memory model does not know.
 	fence atomic.Int64
 
-	taking sync.Mutex // held while a connection is taken over: one at a time, as with dials
+	taking sync.Mutex             // held while a connection is taken over: one at a time, as with dials
+	add    func(*nbio.Conn) error // the engine's, which closes what it cannot add
 }
 
 // Conn is a connection on a Loop.
@@ -112,6 +113,10 @@
 		return nil, fmt.Errorf("starting the socket engine: %w", err)
 	}
 	l.engine = e
+	l.add = func(nc *nbio.Conn) error {
+		_, err := e.AddConn(nc)
+		return err
+	}
 	return l, nil
 }
 
@@ -149,7 +154,7 @@
 		set(c)
 	}
 	l.fence.Add(1)
-	if _, err := l.engine.AddConn(nc); err != nil {
+	if err := l.add(nc); err != nil {
 		return nil, fmt.Errorf("adding a connection: %w", err)
 	}
 	return c, nil
@@ -265,10 +270,16 @@
 
 // peek looks for a byte to be read, without taking it; 0 is the other side's end.
 func peek(fd uintptr) (int, error) {
-	n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, _, err := recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return n, err
 }
 
+// The system's calls that look at a descriptor; tests put others in their place.
+var (
+	recvfrom = syscall.Recvfrom
+	poll     = unix.Poll
+)
+
 // PeerGone says whether the other side has ended its stream or the connection, also
 // where bytes that it has sent before are still to be read.
 func (c *Conn) PeerGone() bool {
@@ -291,7 +302,7 @@
 // shows says whether a descriptor shows one of the events just now.
 func shows(fd uintptr, events int16) bool {
 	look := []unix.PollFd{{Fd: int32(fd), Events: events}}
-	n, err := unix.Poll(look, 0)
+	n, err := poll(look, 0)
 	return err == nil && n > 0 && look[0].Revents&events != 0
 }
 
--- /dev/null
+++ b/nodeclient/local_test.go
@@ -0,0 +1,70 @@
+package nodeclient
+
+import (
+	"io"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"onyxsail/broker"
+	"onyxsail/decide"
+	"onyxsail/internal/netio"
+	"onyxsail/internal/testkit"
+)
+
+// What fails on this machine for a moment, for want of a descriptor, a port, memory or a
+// route, is no node's fault and costs no attempt: the part goes out once it has passed.
+// What does not pass tells of the node only where its address may be the cause.
+func TestDialsThatFailHere(t *testing.T) {
+	const longer = 1 << 20 // times, more than there are in a connection's time
+	for _, c := range []struct {
+		name  string
+		err   syscall.Errno
+		times int64
+		want  decide.Outcome
+	}{
+		{"EMFILE", syscall.EMFILE, 3, decide.OK},
+		{"ENFILE", syscall.ENFILE, 3, decide.OK},
+		{"ENOBUFS", syscall.ENOBUFS, 3, decide.OK},
+		{"ENOMEM", syscall.ENOMEM, 3, decide.OK},
+		{"EADDRNOTAVAIL", syscall.EADDRNOTAVAIL, 3, decide.OK},
+		{"ENETUNREACH", syscall.ENETUNREACH, 3, decide.OK},
+		{"EMFILE for long", syscall.EMFILE, longer, decide.NotSent},
+		{"ENETUNREACH for long", syscall.ENETUNREACH, longer, decide.Unreachable},
+		{"ECONNREFUSED", syscall.ECONNREFUSED, 1, decide.Unreachable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			loop, err := netio.New(1 << 20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var left atomic.Int64
+			left.Store(c.times)
+			d := netio.NewDialer()
+			d.Control = func(string, string, syscall.RawConn) error {
+				if left.Add(-1) >= 0 {
+					return os.NewSyscallError("connect", c.err)
+				}
+				return nil
+			}
+			s := &sink{got: map[broker.AttemptID]decide.Outcome{}}
+			client := New(Options{Loop: loop, Sink: s, Dialer: d, StreamsPerConn: 8, ConnectTimeout: 250 * time.Millisecond, MaxConns: 4, Log: zerolog.New(io.Discard)})
+			t.Cleanup(func() {
+				client.Close()
+				loop.Stop()
+			})
+			n := testkit.NewNode(t, "n", false)
+			client.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+			client.send("n", attempt(1))
+			s.wait(t, 1, c.want)
+			if calls := n.Calls(); c.want != decide.OK && len(calls) != 0 {
+				t.Errorf("the node got %+v", calls)
+			}
+		})
+	}
+}
