Take interrupted looks again, keep connections the system cannot add, try dials anew

Cause: netio took any error of poll and recv for a no; Attach closed an accepted connection when dup or epoll_ctl failed; a dial that failed here reached the module as the node's refusal. Change: EINTR is retried, Attach keeps a descriptor and tries for 10 s, dials are tried anew within their time and end as NotSent where the machine lacks something. The test's stand-in for dup moved into the loop, as the engine goes by a connection's type; as strict.

--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -76,6 +76,7 @@
 	latest   time.Time              // until when attempts may begin; zero: no bound
 	several  bool                   // paths knows its addresses
 	at       atomic.Pointer[string] // of several, the address that its connection leads to
+	local    atomic.Bool            // its latest dial failed for want of something on this machine
 }
 
 // New returns a client; Close ends it.
@@ -193,6 +194,17 @@
 	})
 }
 
+// only is how gRPC reaches a node of one address.
+func (c *Client) only(n *node) grpc.DialOption {
+	return grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout)
+		defer cancel()
+		conn, err := c.opts.Dialer.DialOnly(ctx, "tcp", addr)
+		n.local.Store(netio.LocalFailure(err))
+		return conn, err
+	})
+}
+
 // greeted notices a connection that ends before the other side has said a
 // word: HTTP/2 begins with its settings (RFC 9113, section 3.4).
 type greeted struct {
@@ -268,6 +280,8 @@
 		}
 		if n.several {
 			options = append(options, c.dialer(n))
+		} else {
+			options = append(options, c.only(n))
 		}
 		conn, err := grpc.NewClient("passthrough:///"+n.addr, options...)
 		if err != nil {
@@ -367,6 +381,9 @@
 		tell(broker.WireDialing, time.Now())
 	}
 	if err := c.up(ctx, conn); err != nil {
+		if n.local.Load() {
+			return decide.NotSent, answer, err
+		}
 		return decide.Unreachable, answer, err
 	}
 	tell(broker.WireUp, time.Now())
--- a/internal/netio/dialer.go
+++ b/internal/netio/dialer.go
@@ -2,13 +2,36 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
-// startsAtOnce is how many connects may be in the system at once.
-const startsAtOnce = 2
+const (
+	// startsAtOnce is how many connects may be in the system at once.
+	startsAtOnce = 2
+	// dialAgain is the pause before a dial is tried again that has failed on this machine.
+	dialAgain = 10 * time.Millisecond
+)
+
+// LocalFailure says whether an error means that this machine lacks descriptors, buffers
+// or memory for the moment: it tells nothing of the other side.
+func LocalFailure(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EAGAIN} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// noWay says whether an error means that this machine has no address or no route to dial
+// from: for a moment, or for as long as the other side's address is what it is.
+func noWay(err error) bool {
+	return errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENETUNREACH)
+}
 
 // Dialer makes connections, any number at a time, of which only a few are being
 // begun: a connect that the system lets wait, for want of a processor or of memory,
@@ -23,8 +46,37 @@
 // NewDialer returns a dialer.
 func NewDialer() *Dialer { return &Dialer{starts: make(chan struct{}, startsAtOnce)} }
 
-// Dial makes a connection without keep-alive.
+// Dial makes a connection without keep-alive. What fails for want of something on this
+// machine is tried again until ctx ends, and fails with that error then.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.again(ctx, network, address, LocalFailure)
+}
+
+// DialOnly does so for an address that is the only one: it is tried again as well where
+// there is no way to it.
+func (d *Dialer) DialOnly(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.again(ctx, network, address, func(err error) bool { return LocalFailure(err) || noWay(err) })
+}
+
+// again dials until it succeeds, ctx ends, or it fails with an error that may not pass.
+func (d *Dialer) again(ctx context.Context, network, address string, passes func(error) bool) (net.Conn, error) {
+	pause := time.NewTimer(time.Hour)
+	defer pause.Stop()
+	for {
+		conn, err := d.dial(ctx, network, address)
+		if err == nil || !passes(err) {
+			return conn, err
+		}
+		pause.Reset(dialAgain)
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-pause.C:
+		}
+	}
+}
+
+func (d *Dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	select {
 	case d.starts <- struct{}{}:
 	case <-ctx.Done():
--- a/internal/netio/failures_test.go
+++ b/internal/netio/failures_test.go
@@ -106,30 +106,6 @@
 }
 func (g *gated) Closed(error) {}
 
-// scarce is a connection of a machine that is out of descriptors for some calls.
-type scarce struct {
-	*net.TCPConn
-	failure error
-	times   *atomic.Int64
-}
-
-func (s scarce) SyscallConn() (syscall.RawConn, error) {
-	raw, err := s.TCPConn.SyscallConn()
-	return scarceRaw{raw, s}, err
-}
-
-type scarceRaw struct {
-	syscall.RawConn
-	of scarce
-}
-
-func (r scarceRaw) Control(f func(uintptr)) error {
-	if r.of.times.Add(-1) >= 0 {
-		return r.of.failure
-	}
-	return r.RawConn.Control(f)
-}
-
 // A connection that the system has accepted is not closed for want of a descriptor, of
 // memory or of a watch: its client may have sent a request. It is taken over later.
 func TestConnectionOutlivesAFailedTakeover(t *testing.T) {
@@ -164,9 +140,14 @@
 			}
 			times := &atomic.Int64{}
 			times.Store(3)
-			var conn net.Conn = accepted
 			if !c.adding {
-				conn = scarce{accepted.(*net.TCPConn), c.failure, times}
+				take := loop.take
+				loop.take = func(conn net.Conn) (*nbio.Conn, error) {
+					if times.Add(-1) >= 0 {
+						return nil, c.failure // the connection stays open
+					}
+					return take(conn)
+				}
 			} else {
 				add := loop.add
 				loop.add = func(nc *nbio.Conn) error {
@@ -178,7 +159,7 @@
 				}
 			}
 			e := newEar()
-			took, err := loop.Attach(conn, e, nil)
+			took, err := loop.Attach(accepted, e, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,8 +36,11 @@
 	// memory model does not know.
 	fence atomic.Int64
 
-	taking sync.Mutex             // held while a connection is taken over: one at a time, as with dials
-	add    func(*nbio.Conn) error // the engine's, which closes what it cannot add
+	taking sync.Mutex // held while a connection is taken over: one at a time, as with dials
+	// The engine's: it duplicates a connection and closes the original, and closes what it
+	// cannot add.
+	take func(net.Conn) (*nbio.Conn, error)
+	add  func(*nbio.Conn) error
 }
 
 // Conn is a connection on a Loop.
@@ -47,6 +51,7 @@
 	queued  atomic.Int64
 	written atomic.Int64
 	closed  atomic.Bool
+	adding  atomic.Bool // the engine is being given it
 	onFlush atomic.Pointer[func()]
 
 	using   sync.Mutex // held while the descriptor is used beside the engine
@@ -59,6 +64,10 @@
 	// other side has ended after so many reads, whatever is still to be read: there
 	// must be more of them than the system holds for a connection.
 	readTimes = 1024
+	// Where the system lacks something that a connection needs, it is tried again every
+	// attachAgain: longer than attachWithin no client waits for it.
+	attachAgain  = 5 * time.Millisecond
+	attachWithin = 10 * time.Second
 	// stopWithin is how long the engine may take to stop.
 	stopWithin = 2 * time.Second
 )
@@ -97,7 +106,11 @@
 		}
 	})
 	e.OnClose(func(nc *nbio.Conn, err error) {
-		if c := l.conn(nc); c != nil && c.leave() {
+		c := l.conn(nc)
+		if c != nil && c.adding.Load() && LocalFailure(err) {
+			return // the engine had no room for it: Attach tries again
+		}
+		if c != nil && c.leave() {
 			l.hand.do(func() { c.h.Closed(err) })
 		}
 	})
@@ -113,6 +126,7 @@
 		return nil, fmt.Errorf("starting the socket engine: %w", err)
 	}
 	l.engine = e
+	l.take = nbio.NBConn
 	l.add = func(nc *nbio.Conn) error {
 		_, err := e.AddConn(nc)
 		return err
@@ -137,29 +151,90 @@
 }
 
 // Attach moves an open connection onto the loop. set, if not nil, is called
-// with the Conn before the first event can come; only after Attach has
+// with the Conn before the first event can come, once more where the system lacks
+// something for a moment and the connection is tried again; only after Attach has
 // returned, or from an event, may the Conn be written to. If Attach fails
 // after set, the handler's Closed still comes.
 func (l *Loop) Attach(conn net.Conn, h Handler, set func(*Conn)) (*Conn, error) {
+	began := time.Now()
+	for {
+		c, kept, err := l.attach(conn, h, set)
+		if err == nil {
+			return c, nil
+		}
+		if kept == nil || !LocalFailure(err) || time.Since(began) > attachWithin {
+			if kept != nil {
+				_ = kept.Close()
+			}
+			if c != nil && c.leave() {
+				l.hand.do(func() { h.Closed(err) })
+			}
+			return nil, err
+		}
+		conn = kept
+		time.Sleep(attachAgain)
+	}
+}
+
+// attach is one try of Attach. With an error come the connection, where it is still open,
+// and the Conn, where set has been called.
+func (l *Loop) attach(conn net.Conn, h Handler, set func(*Conn)) (c *Conn, kept net.Conn, err error) {
 	l.taking.Lock()
 	defer l.taking.Unlock()
-	nc, err := nbio.NBConn(conn)
+	spare, err := duplicate(conn) // the engine closes what it cannot add
+	if err != nil {
+		return nil, conn, fmt.Errorf("taking over a connection: %w", err)
+	}
+	defer syscall.Close(spare)
+	nc, err := l.take(conn)
 	if err != nil {
-		_ = conn.Close()
-		return nil, fmt.Errorf("taking over a connection: %w", err)
+		return nil, conn, fmt.Errorf("taking over a connection: %w", err)
 	}
-	c := &Conn{l: l, nc: nc, h: h}
+	c = &Conn{l: l, nc: nc, h: h}
+	c.adding.Store(true)
 	nc.SetSession(c)
 	if set != nil {
 		set(c)
 	}
 	l.fence.Add(1)
 	if err := l.add(nc); err != nil {
-		return nil, fmt.Errorf("adding a connection: %w", err)
+		kept, lost := connOf(spare)
+		return c, kept, errors.Join(fmt.Errorf("adding a connection: %w", err), lost)
 	}
-	return c, nil
+	c.adding.Store(false)
+	return c, nil, nil
 }
 
+// duplicate returns a second descriptor of a connection.
+func duplicate(conn net.Conn) (int, error) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return -1, errNoDescriptor
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return -1, fmt.Errorf("reaching the socket: %w", err)
+	}
+	copied, failed := -1, error(nil)
+	if err := raw.Control(func(fd uintptr) { copied, failed = syscall.Dup(int(fd)) }); err != nil {
+		return -1, fmt.Errorf("reaching the socket: %w", err)
+	}
+	return copied, failed
+}
+
+// connOf makes a connection of a descriptor, which stays open beside it.
+func connOf(fd int) (net.Conn, error) {
+	copied, err := syscall.Dup(fd)
+	if err != nil {
+		return nil, fmt.Errorf("keeping a connection: %w", err)
+	}
+	f := os.NewFile(uintptr(copied), "connection")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
+var errNoDescriptor = errors.New("a connection without a descriptor")
+
 // Write queues b, which it copies where it cannot leave at once, and returns
 // the position in the stream of its last byte. After an error the connection
 // is closed; Written tells what had left.
@@ -270,8 +345,12 @@
 
 // peek looks for a byte to be read, without taking it; 0 is the other side's end.
 func peek(fd uintptr) (int, error) {
-	n, _, err := recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
+	for {
+		n, _, err := recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
 }
 
 // The system's calls that look at a descriptor; tests put others in their place.
@@ -302,8 +381,12 @@
 // shows says whether a descriptor shows one of the events just now.
 func shows(fd uintptr, events int16) bool {
 	look := []unix.PollFd{{Fd: int32(fd), Events: events}}
-	n, err := poll(look, 0)
-	return err == nil && n > 0 && look[0].Revents&events != 0
+	for {
+		n, err := poll(look, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return err == nil && n > 0 && look[0].Revents&events != 0
+		}
+	}
 }
 
 // HungUp says whether the other side has ended its stream, or the connection is
@@ -316,7 +399,7 @@
 		switch {
 		case err == nil:
 			ended = n == 0
-		case !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR):
+		case !errors.Is(err, syscall.EAGAIN):
 			ended = true
 		}
 	})
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -116,6 +116,7 @@
 	ours      bool      // we have closed it
 	blamed    bool      // the planner knows of its present silence
 	trial     bool      // its address is on trial: it carries no parts yet
+	local     bool      // it could not be made for want of something on this machine
 	last      string    // id of the latest answer
 }
 
@@ -366,6 +367,7 @@
 		}
 		c.opts.Log.Info().Str("event", "connect").Str("node", n.id).Str("addr", cn.addr).Err(err).
 			Msg("a node could not be reached")
+		cn.local = netio.LocalFailure(err)
 		cn.fail()
 	}()
 	return cn
@@ -766,6 +768,9 @@
 		if r.Elsewhere && cn.sock != nil && cn.move(cl) {
 			continue
 		}
+		if cn.local { // tells nothing of the node
+			r.Outcome = decide.NotSent
+		}
 		cn.c.opts.Sink.Outcome(cl.ID, r.Outcome, broker.Answer{})
 	}
 	for _, sent := range cn.probes {
