--- a/internal/netio/dialer.go
+++ b/internal/netio/dialer.go
@@ -62,11 +62,16 @@
 func (d *Dialer) again(ctx context.Context, network, address string, passes func(error) bool) (net.Conn, error) {
 	pause := time.NewTimer(time.Hour)
 	defer pause.Stop()
+	var before error
 	for {
 		conn, err := d.dial(ctx, network, address)
+		if err != nil && before != nil && ctx.Err() != nil {
+			return nil, before // that its time is over does not tell what it failed for
+		}
 		if err == nil || !passes(err) {
 			return conn, err
 		}
+		before = err
 		pause.Reset(dialAgain)
 		select {
 		case <-ctx.Done():
