Bound a first request by its connection's age, answer half-closes, mend 100 Continue

Cause: the time for a half request began with its first byte; WantsContinue was used up while another request was in work; the end of a client's side closed the connection over requests that had been read. Change: 2.75 s from the accept (2.5 s for later requests, 2 s before, as some clients take 2 s), 100 Continue when the turn comes and never behind an error, 500 to each request read of a client that ended its side, for which nothing begins.

--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -34,7 +34,9 @@
 	maxAheadSize = 128 << 10               // bytes of the bodies that wait
 	tellEvery    = 10 * time.Second        // between log lines on requests turned away
 	silentFor    = 1500 * time.Millisecond // without a first byte
-	wholeWithin  = 2 * time.Second         // for a request that has begun
+	wholeWithin  = 2500 * time.Millisecond // for a request that has begun: some clients take 2 s
+	firstWithin  = 2750 * time.Millisecond // for the first one, from the connection's beginning
+	halfForRoom  = time.Second             // and where others want the place
 	idleLeast    = 2 * time.Second         // between requests, while connections are scarce
 	idleMost     = time.Minute             // and while they are not
 	lingerFor    = time.Second             // for the other side's end, after ours
@@ -155,7 +157,8 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors: let some close
 			continue
 		}
-		c := &conn{f: f, parser: http1.Parser{MaxBody: MaxBody}, since: time.Now()}
+		c := &conn{f: f, parser: http1.Parser{MaxBody: MaxBody}, born: time.Now()}
+		c.since = c.born
 		_, err = f.opts.Loop.Attach(nc, c, func(s *netio.Conn) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -202,7 +205,7 @@
 	for _, v := range []struct {
 		state state
 		age   time.Duration
-	}{{leaving, youngest}, {silent, youngest}, {idle, idleLeast}, {reading, wholeWithin / 2}, {idle, youngest}} {
+	}{{leaving, youngest}, {silent, youngest}, {idle, idleLeast}, {reading, halfForRoom}, {idle, youngest}} {
 		if v.state != leaving && f.leave() >= maxLeaving {
 			return
 		}
@@ -301,11 +304,32 @@
 	if len(f.slots) > cap(f.slots)/2 {
 		spare = idleLeast
 	}
-	for s, most := range map[state]time.Duration{silent: silentFor, idle: spare, leaving: lingerFor, reading: wholeWithin} {
+	for s, most := range map[state]time.Duration{silent: silentFor, idle: spare, leaving: lingerFor} {
 		for _, c := range f.longest(s, most) {
 			c.over(s)
 		}
 	}
+	for _, c := range f.overdue() {
+		c.over(reading)
+	}
+}
+
+// overdue returns the connections whose request should have become whole by now.
+func (f *Front) overdue() (all []*conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for e := f.queues[reading].Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		by := c.entered.Add(wholeWithin)
+		if first := c.born.Add(firstWithin); !c.asked && first.Before(by) {
+			by = first
+		}
+		if !now.Before(by) {
+			all = append(all, c)
+		}
+	}
+	return all
 }
 
 func (f *Front) list() []*conn {
@@ -375,22 +399,26 @@
 type conn struct {
 	f    *Front
 	sock *netio.Conn
+	born time.Time // when it was accepted
 
 	mu     sync.Mutex
 	parser http1.Parser
 	slots  []*slot
 	since  time.Time // when it was last waited for anew
 	spoke  bool      // a byte has come
+	whole  bool      // a request has
 	ahead  int       // bytes of the bodies that wait
 	inData bool      // Data is at work
 	ending bool      // nothing more is read from it
 	ended  bool      // our side of the stream is over
+	gone   bool      // a request's client had left when its turn came
 	closed bool
 
 	// The front's lock guards what follows.
 	in      *list.Element
 	queue   state
 	entered time.Time
+	asked   bool // a request has become whole
 }
 
 type slot struct {
@@ -419,11 +447,43 @@
 	c.spoke = true
 	c.parser.Feed(b)
 	c.work()
-	if c.parser.WantsContinue() && len(c.slots) == 0 {
+	if c.gone || len(c.slots) > 0 && c.parser.Mid() && c.sock.PeerGone() {
+		c.depart()
+	}
+	c.invite()
+}
+
+// invite answers a request that waits for 100 Continue, once its turn has come.
+func (c *conn) invite() {
+	if len(c.slots) == 0 && !c.ending && c.parser.WantsContinue() {
 		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 }
 
+// PeerEnded implements netio.Parting.
+func (c *conn) PeerEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.depart()
+}
+
+// depart answers what was read of a client that has ended its side. It counts as gone, as
+// nothing tells that from a close, and nothing begins for it; if it reads on, it is owed
+// the answers. Closed follows, and takes its queries back.
+func (c *conn) depart() {
+	if c.ended || c.closed {
+		return
+	}
+	c.ending = true
+	for _, s := range c.slots {
+		if !s.done {
+			s.out = encode(nil, http.StatusInternalServerError, "the client ended its side", 0, true)
+		}
+		c.write(s.out)
+	}
+	c.closed = true
+}
+
 // work takes the requests that are whole. Clients send one at a time; whoever
 // sends many ahead would have a connection hold any number of them.
 func (c *conn) work() {
@@ -437,7 +497,7 @@
 		case len(c.slots) >= maxAhead || c.ahead+len(m.Body) > maxAheadSize:
 			c.reject(http.StatusTooManyRequests, "too many requests were sent ahead")
 		default:
-			c.since = time.Now() // what is buffered behind it begins anew
+			c.since, c.whole = time.Now(), true // what is buffered behind it begins anew
 			s := &slot{close: m.Close, came: c.since}
 			c.slots = append(c.slots, s)
 			c.ending = m.Close
@@ -489,6 +549,7 @@
 		f.queues[c.queue].Remove(c.in)
 		c.in = nil
 	}
+	c.asked = c.asked || c.whole
 	if _, open := f.conns[c]; open && !c.closed {
 		c.in, c.queue, c.entered = f.queues[now].PushBack(c), now, time.Now()
 	}
@@ -569,8 +630,9 @@
 		q.Trace = tracecontext.Parse(m.All(tracecontext.ParentKey), strings.Join(m.All(tracecontext.StateKey), ","))
 	}
 	// It may have waited for us, behind others of its connection too, and its client have
-	// left: Closed comes, and the slot goes with it.
+	// left: Closed comes, and the slots go with it.
 	if c.sock.PeerGone() {
+		c.gone = true
 		return
 	}
 	id, ok := c.f.opts.Core.Submit(q, c)
@@ -590,6 +652,7 @@
 		if s.id == id && !s.done {
 			c.finish(s, func(last bool) []byte { return encodeReply(nil, r, last) })
 			c.next()
+			c.invite()
 			return
 		}
 	}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -27,6 +27,14 @@
 	Closed(err error)
 }
 
+// Parting is a Handler that is told when the other side has ended its stream, from the
+// engine's goroutine and before the connection is closed for it: the other side may still
+// read. The end may also come right behind what Data is given; then PeerGone alone tells.
+type Parting interface {
+	Handler
+	PeerEnded()
+}
+
 // Loop is one engine with one polling goroutine, and one more for errands.
 type Loop struct {
 	engine *nbio.Engine
@@ -52,6 +60,7 @@
 	written atomic.Int64
 	closed  atomic.Bool
 	adding  atomic.Bool // the engine is being given it
+	got     bool        // the latest read brought something; the engine's goroutine alone uses it
 	onFlush atomic.Pointer[func()]
 
 	using   sync.Mutex // held while the descriptor is used beside the engine
@@ -92,16 +101,19 @@
 	e.OnReadBufferAlloc(func(nc *nbio.Conn) *[]byte {
 		if c := l.conn(nc); c != nil {
 			c.setReading(true)
+			c.got = false
 		}
 		return e.PollerBufferPtr(nc)
 	})
 	e.OnReadBufferFree(func(nc *nbio.Conn, _ *[]byte) {
 		if c := l.conn(nc); c != nil {
 			c.setReading(false)
+			c.part()
 		}
 	})
 	e.OnData(func(nc *nbio.Conn, b []byte) {
 		if c := l.conn(nc); c != nil && !c.closed.Load() {
+			c.got = true
 			c.h.Data(b)
 		}
 	})
@@ -270,6 +282,13 @@
 	}
 }
 
+// part tells the handler of the other side's end, where a read brought nothing for it.
+func (c *Conn) part() {
+	if p, ok := c.h.(Parting); ok && !c.got && c.HungUp() && !c.closed.Load() {
+		p.PeerEnded()
+	}
+}
+
 // leave marks the connection as closed, once, before the engine closes its
 // descriptor: the next connection may get the same number.
 func (c *Conn) leave() bool {
