--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -389,3 +389,51 @@
 		}
 	}
 }
+
+// absent is a client of whom the front can tell that it has left, though the news of it
+// has not come to the core yet.
+type absent struct {
+	replies
+	gone bool
+}
+
+// Gone says so.
+func (a *absent) Gone() bool { return a.gone }
+
+// A core that has been held up hears of an outcome before the front has read the end of
+// the client's connection: no further attempt begins for a client that has gone, nor does
+// one that waits for its connection.
+func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
+	c, nodes := newCore(3)
+	c.turn()
+	client := &absent{replies: make(replies, 1)}
+	q := ask()
+	q.Came = q.Came.Add(-100 * time.Millisecond)
+	if _, ok := c.Submit(q, client); !ok {
+		t.Fatal("not taken")
+	}
+	c.turn()
+	out := len(nodes.sent)
+	if out != 2 {
+		t.Fatalf("%d attempts", out)
+	}
+	later := time.Now().Add(time.Second)
+	waits := nodes.sent[0]
+	if waits.Late(time.Time{}, later) {
+		t.Error("late while the client is there")
+	}
+	client.gone = true
+	if !waits.Late(time.Time{}, later) {
+		t.Error("an attempt that has waited for its connection begins for a client that has gone")
+	}
+	c.Outcome(nodes.sent[0].ID, decide.Failed, Answer{})
+	c.Outcome(nodes.sent[1].ID, decide.Rejected, Answer{})
+	c.turn()
+	c.turn()
+	if len(nodes.sent) != out {
+		t.Errorf("%d attempts more", len(nodes.sent)-out)
+	}
+	if len(c.queries)+len(c.tries)+c.held != 0 {
+		t.Error("state is left")
+	}
+}
