Ask the front whether a client is there before an attempt that comes later than its query

Cause: after the process was held up the core could decide before the socket goroutine had read a client's end. Change: Departure tells by a look at the socket; asked where it was last known over 20 ms ago, also when a frame leaves that has waited for its connection. The test sets back when the client was last known, which the fix brought.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -91,6 +91,8 @@
 	id      QueryID
 	event   uint64 // the module's id of it
 	replier Replier
+	client  Departure // replier, where it can tell of its client
+	there   time.Time // when the client was there for certain
 	parts   []*part
 }
 
@@ -279,7 +281,8 @@
 // is refused before the module hears of it, as the settings demand.
 func (c *Core) take(in input, now time.Time) {
 	c.stats.queries.Add(1)
-	q := &query{Query: *in.query, id: in.id, replier: in.replier}
+	q := &query{Query: *in.query, id: in.id, replier: in.replier, there: in.query.Came}
+	q.client, _ = in.replier.(Departure)
 	if c.opts.Observer != nil {
 		c.opts.Observer.Taken(q.id, &q.Query, now)
 	}
@@ -468,7 +471,7 @@
 	attempts := c.opts.Settings.MaxAttempts
 	latest := c.latest(t, now.Add(left))
 	switch {
-	case c.queries[q.id] != q, !now.Before(latest), attempts > 0 && t.n >= attempts:
+	case c.queries[q.id] != q, !now.Before(latest), attempts > 0 && t.n >= attempts, c.departed(q, now):
 		c.queue.put(input{kind: inOutcome, attempt: t.id, outcome: decide.NotSent, ours: true})
 		return
 	case n == nil, !n.left.IsZero() && now.Sub(n.left) > c.drainGuard():
@@ -484,9 +487,24 @@
 	heap.Push(&c.timers, timer{at: now.Add(wait), try: t.id})
 	c.batch = append(c.batch, Attempt{
 		ID: t.id, Node: n.ID, Query: q.Name, Shard: p.shard, Key: q.Key, Text: q.Text, Wait: wait, Latest: latest,
+		Sent: now, Client: q.client,
 	})
 }
 
+// departed says whether a query's client has left, though the news of it may still be on
+// its way; then the query ends in the next turn.
+func (c *Core) departed(q *query, now time.Time) bool {
+	if q.client == nil || now.Sub(q.there) <= presentFor {
+		return false
+	}
+	if q.client.Gone() {
+		c.Leave(q.id)
+		return true
+	}
+	q.there = now
+	return false
+}
+
 // latest is until when an attempt may begin: within its query's time, and, where
 // an earlier one of its part may have run or may yet, within the time in which
 // the class allows a repeat. For a connection it may wait longer than that.
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -422,6 +422,9 @@
 	if waits.Late(time.Time{}, later) {
 		t.Error("late while the client is there")
 	}
+	for _, q := range c.queries {
+		q.there = q.there.Add(-time.Second) // the core is held up
+	}
 	client.gone = true
 	if !waits.Late(time.Time{}, later) {
 		t.Error("an attempt that has waited for its connection begins for a client that has gone")
--- a/broker/types.go
+++ b/broker/types.go
@@ -71,9 +71,23 @@
 	Reply(QueryID, Reply)
 }
 
-// Late says whether an attempt may not begin any more, itself or at its node.
+// Departure is a Replier that can tell that its client has left before the news of it
+// comes by Core.Leave, as after the whole process was held up. Gone may be called from any
+// goroutine and under the caller's locks.
+type Departure interface {
+	Replier
+	Gone() bool
+}
+
+// presentFor is how long a client that was there is taken to be there: an attempt may
+// begin for 0.1 s after it has left at the most.
+const presentFor = 20 * time.Millisecond
+
+// Late says whether an attempt may not begin any more, itself, at its node or as its
+// client has left.
 func (a *Attempt) Late(node, now time.Time) bool {
-	return !a.Latest.IsZero() && now.After(a.Latest) || !node.IsZero() && now.After(node)
+	return !a.Latest.IsZero() && now.After(a.Latest) || !node.IsZero() && now.After(node) ||
+		a.Client != nil && now.Sub(a.Sent) > presentFor && a.Client.Gone()
 }
 
 // Attempt is one try of one part at one node.
@@ -85,6 +99,9 @@
 	Key   string
 	Text  []byte
 	Wait  time.Duration // how long the core will wait
+	Sent  time.Time     // when the core sent it
+	// Client, if not nil, tells whether the query's client has left.
+	Client Departure
 	// Latest is until when it may begin: what still waits then for a connection
 	// ends as decide.NotSent. Zero: no bound.
 	Latest time.Time
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -643,6 +643,9 @@
 	s.id = id
 }
 
+// Gone implements broker.Departure.
+func (c *conn) Gone() bool { return c.sock.PeerGone() }
+
 // Reply implements broker.Replier.
 func (c *conn) Reply(id broker.QueryID, r broker.Reply) {
 	c.mu.Lock()
