--- a/config/config.go
+++ b/config/config.go
@@ -128,6 +128,9 @@
 // after SIGTERM, 0.4 s, and under the 0.7 s after which none may be lost.
 const defaultHandOver = 550 * time.Millisecond
 
+// readFile reads a file; a test puts another in its place.
+var readFile = os.ReadFile
+
 // Load reads the file at path, or the one that NODE_CONFIG names when path is
 // empty. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override the file.
 func Load(path string, getenv func(string) string) (*Config, error) {
@@ -137,7 +140,7 @@
 	if path == "" {
 		return nil, wrong("NODE_CONFIG", "not set, and no file was named")
 	}
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
 		return nil, &Field{"NODE_CONFIG", fmt.Errorf("reading the configuration: %w", err)}
 	}
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -102,13 +102,18 @@
 
 // Listen opens the front's socket and begins to serve.
 func Listen(addr string, o Options) (*Front, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := openListener(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	return serve(l.(*net.TCPListener), o), nil
 }
 
+// listen opens a socket; a test puts another in its place.
+var listen = net.Listen
+
+func openListener(addr string) (net.Listener, error) { return listen("tcp", addr) }
+
 // listener is a socket whose accepts may be given a deadline.
 type listener interface {
 	net.Listener
--- a/store/store.go
+++ b/store/store.go
@@ -40,10 +40,18 @@
 	Log     zerolog.Logger
 	// Listen, if set, takes the place of listening at this peer's Raft address.
 	Listen net.Listener
+	// Disk, if set, takes the place of the database on disk, in tests of one that fails.
+	Disk func(Disk) Disk
 	// Tune, if set, edits Raft's own configuration before it is used.
 	Tune func(*raft.Config)
 }
 
+// Disk is what Raft keeps on disk beside its snapshots.
+type Disk interface {
+	raft.LogStore
+	raft.StableStore
+}
+
 // NotLeader says that a write must go to another instance.
 type NotLeader struct{ Leader Peer }
 
@@ -129,6 +137,10 @@
 		return err
 	}
 	s.close = append(s.close, db.Close)
+	disk := Disk(db)
+	if o.Disk != nil {
+		disk = o.Disk(disk)
+	}
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(o.Dir, keepSnapshots, log)
 	if err != nil {
 		return err
@@ -139,16 +151,16 @@
 	if o.Tune != nil {
 		o.Tune(cfg)
 	}
-	known, err := raft.HasExistingState(db, db, snaps)
+	known, err := raft.HasExistingState(disk, disk, snaps)
 	if err != nil {
 		return err
 	}
 	if !known { // all instances begin with the same members, so each may say so itself
-		if err := raft.BootstrapCluster(cfg, db, db, snaps, transport, servers); err != nil {
+		if err := raft.BootstrapCluster(cfg, disk, disk, snaps, transport, servers); err != nil {
 			return err
 		}
 	}
-	s.raft, err = raft.NewRaft(cfg, s.machine, db, db, snaps, transport)
+	s.raft, err = raft.NewRaft(cfg, s.machine, disk, disk, snaps, transport)
 	return err
 }
 
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +25,34 @@
 	peers []store.Peer
 	dirs  []string
 	live  []*store.Store
+	fail  atomic.Pointer[syscall.Errno] // what writes to all disks end with; nil: they work
+	vain  atomic.Int64                  // writes that have failed
+}
+
+// disk fails while its group says so.
+type disk struct {
+	store.Disk
+	of *group
+}
+
+func (d disk) write(f func() error) error {
+	if errno := d.of.fail.Load(); errno != nil {
+		d.of.vain.Add(1)
+		return fmt.Errorf("writing: %w", *errno)
+	}
+	return f()
+}
+
+func (d disk) StoreLog(l *raft.Log) error { return d.write(func() error { return d.Disk.StoreLog(l) }) }
+func (d disk) StoreLogs(l []*raft.Log) error {
+	return d.write(func() error { return d.Disk.StoreLogs(l) })
+}
+func (d disk) DeleteRange(from, to uint64) error {
+	return d.write(func() error { return d.Disk.DeleteRange(from, to) })
+}
+func (d disk) Set(k, v []byte) error { return d.write(func() error { return d.Disk.Set(k, v) }) }
+func (d disk) SetUint64(k []byte, v uint64) error {
+	return d.write(func() error { return d.Disk.SetUint64(k, v) })
 }
 
 func newGroup(t *testing.T) *group {
@@ -54,6 +84,7 @@
 	g.t.Helper()
 	s, err := store.Open(store.Options{
 		Name: g.peers[i].Name, Dir: g.dirs[i], Peers: g.peers, Log: zerolog.New(io.Discard), Listen: l,
+		Disk: func(d store.Disk) store.Disk { return disk{d, g} },
 		Tune: func(c *raft.Config) {
 			c.HeartbeatTimeout, c.ElectionTimeout = 150*time.Millisecond, 150*time.Millisecond
 			c.LeaderLeaseTimeout, c.CommitTimeout = 100*time.Millisecond, 5*time.Millisecond
@@ -192,3 +223,42 @@
 		t.Errorf("version %d after the restart, want 8", c.Version)
 	}
 }
+
+// While the disks of all instances fail, in the midst of an election and of writes, nothing
+// is acknowledged and no instance ends; what was acknowledged before is there afterwards,
+// also from the disks alone, and changes are taken again.
+func TestDisksThatFailForAWhile(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOSPC, syscall.EIO} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			g := newGroup(t)
+			set := func(hint int) error {
+				_, err := g.live[g.leader()].SetConfig(store.Patch{HandOverMs: &hint})
+				return err
+			}
+			if err := set(111); err != nil {
+				t.Fatal(err)
+			}
+			g.fail.Store(&errno)
+			old := g.leader()
+			hint := 222
+			if c, err := g.live[old].SetConfig(store.Patch{HandOverMs: &hint}); err == nil {
+				t.Errorf("acknowledged %+v while no disk takes it", c)
+			}
+			before := g.vain.Load()
+			g.stop(old) // the others elect: that has to be written too
+			testkit.Eventually(t, "an election meets the failing disks", func() bool { return g.vain.Load() > before })
+			g.fail.Store(nil)
+			g.start(old, nil)
+			testkit.Eventually(t, "a change is taken", func() bool { return set(333) == nil })
+			for i := range g.live {
+				g.stop(i)
+			}
+			for i := range g.live {
+				g.start(i, nil)
+			}
+			testkit.Eventually(t, "it is there after a restart of all", func() bool {
+				return g.live[g.leader()].State().Config.HandOverMs == 333
+			})
+		})
+	}
+}
