Bear a store's disk, a configuration file and a listen that fail for a while

Cause: Raft panics where it cannot save its term; the file was read and the socket opened once. Change: stable writes wait for the disk and are logged (store-disk), log writes fail as before, and nothing is granted once a close gave up; reads and listens are tried again for 1.5 and 3 s where the error may pass.

--- a/config/config.go
+++ b/config/config.go
@@ -17,6 +17,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"onyxsail/decide"
@@ -131,6 +132,26 @@
 // readFile reads a file; a test puts another in its place.
 var readFile = os.ReadFile
 
+// A file that can't be read for a moment is tried again every readAgain, for readWithin:
+// what the file says at SIGHUP must be in use some seconds later.
+const (
+	readAgain  = 20 * time.Millisecond
+	readWithin = 1500 * time.Millisecond
+)
+
+// readPatiently reads a file, again where the system or its disk fails for a moment.
+func readPatiently(path string) ([]byte, error) {
+	for began := time.Now(); ; time.Sleep(readAgain) {
+		data, err := readFile(path)
+		passes := slices.ContainsFunc(passing, func(errno syscall.Errno) bool { return errors.Is(err, errno) })
+		if err == nil || !passes || time.Since(began) > readWithin {
+			return data, err
+		}
+	}
+}
+
+var passing = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EIO, syscall.EINTR, syscall.EAGAIN}
+
 // Load reads the file at path, or the one that NODE_CONFIG names when path is
 // empty. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override the file.
 func Load(path string, getenv func(string) string) (*Config, error) {
@@ -140,7 +161,7 @@
 	if path == "" {
 		return nil, wrong("NODE_CONFIG", "not set, and no file was named")
 	}
-	data, err := readFile(path)
+	data, err := readPatiently(path)
 	if err != nil {
 		return nil, &Field{"NODE_CONFIG", fmt.Errorf("reading the configuration: %w", err)}
 	}
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -112,7 +112,22 @@
 // listen opens a socket; a test puts another in its place.
 var listen = net.Listen
 
-func openListener(addr string) (net.Listener, error) { return listen("tcp", addr) }
+// A listener that the system can't open for a moment is tried again every listenAgain, for
+// listenWithin: a start has some seconds, and an address that is not there is told then.
+const (
+	listenAgain  = 20 * time.Millisecond
+	listenWithin = 3 * time.Second
+)
+
+func openListener(addr string) (net.Listener, error) {
+	for began := time.Now(); ; time.Sleep(listenAgain) {
+		l, err := listen("tcp", addr)
+		passes := netio.LocalFailure(err) || errors.Is(err, syscall.EADDRNOTAVAIL)
+		if err == nil || !passes || time.Since(began) > listenWithin {
+			return l, err
+		}
+	}
+}
 
 // listener is a socket whose accepts may be given a deadline.
 type listener interface {
--- a/store/store.go
+++ b/store/store.go
@@ -141,6 +141,7 @@
 	if o.Disk != nil {
 		disk = o.Disk(disk)
 	}
+	disk = &patient{Disk: disk, stop: s.stop, log: o.Log}
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(o.Dir, keepSnapshots, log)
 	if err != nil {
 		return err
