Start the socket loop when descriptors come back; failing test: time before the accept

Cause of the first: New tried once. Measured failing: a request that waited 0.4 s of 0.48 s to be accepted is told to the core with 0.48 s left.

--- a/httpfront/terms_test.go
+++ b/httpfront/terms_test.go
@@ -178,3 +178,25 @@
 		_ = l.Close()
 	}
 }
+
+// A connection may wait for its turn to be accepted, with a request: its client's time runs
+// meanwhile, and what the nodes are told must not go beyond it.
+func TestTimeBeforeTheAcceptIsCounted(t *testing.T) {
+	const waited, slack = 400 * time.Millisecond, 150 * time.Millisecond
+	f, core := start(t)
+	for i := range cap(f.slots) { // all places are taken, by requests in work
+		client, _ := dial(t, f)
+		say(t, client, named("busy"+string(rune('a'+i))))
+	}
+	testkit.Eventually(t, "all are taken", func() bool { return core.taken() == cap(f.slots) })
+	client, _ := dial(t, f)
+	say(t, client, named("waits"))
+	sent := time.Now()
+	time.Sleep(waited)
+	core.answer(1, broker.Reply{Verdict: broker.Refused}) // its connection ends, as places are scarce
+	testkit.Eventually(t, "the last is taken", func() bool { return core.taken() == cap(f.slots)+1 })
+	q := core.queries[broker.QueryID(cap(f.slots)+1)]
+	if left, told := q.Budget-time.Since(sent), q.Budget-time.Since(q.Came); told > left+slack {
+		t.Errorf("the client has %v left, the core is told %v", left, told)
+	}
+}
--- a/internal/netio/failures_test.go
+++ b/internal/netio/failures_test.go
@@ -184,3 +184,31 @@
 		})
 	}
 }
+
+// A loop that is started while no descriptor is to be had starts once there is one.
+func TestLoopStartsWhenDescriptorsComeBack(t *testing.T) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	none := limit
+	none.Cur = 0
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none); err != nil {
+		t.Fatal(err)
+	}
+	back := time.AfterFunc(100*time.Millisecond, func() { _ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit) })
+	loop, err := New(1 << 20)
+	back.Stop()
+	if failed := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); failed != nil {
+		t.Fatal(failed)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := listen(t)
+	_, e, peer := pair(t, loop, l)
+	if _, err := io.WriteString(peer, "x"); err != nil || <-e.got != "x" {
+		t.Errorf("the loop does not work: %v", err)
+	}
+	loop.Stop()
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -77,6 +77,8 @@
 	// attachAgain: longer than attachWithin no client waits for it.
 	attachAgain  = 5 * time.Millisecond
 	attachWithin = 10 * time.Second
+	// startWithin is how long a start may wait for the system.
+	startWithin = 3 * time.Second
 	// stopWithin is how long the engine may take to stop.
 	stopWithin = 2 * time.Second
 )
@@ -90,8 +92,18 @@
 func init() { nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxDescriptor) }
 
 // New starts a loop whose write buffers hold at most maxWrite bytes a
-// connection.
+// connection. Where the system lacks something for a moment it tries again, for
+// startWithin.
 func New(maxWrite int) (*Loop, error) {
+	for began := time.Now(); ; time.Sleep(attachAgain) {
+		l, err := startLoop(maxWrite)
+		if err == nil || !LocalFailure(err) || time.Since(began) > startWithin {
+			return l, err
+		}
+	}
+}
+
+func startLoop(maxWrite int) (*Loop, error) {
 	logging.SetLevel(logging.LevelNone) // the engine's own lines bypass our log
 	l := &Loop{hand: newHand()}
 	e := nbio.NewEngine(nbio.Config{
@@ -378,6 +390,21 @@
 	poll     = unix.Poll
 )
 
+// LastHeard is how long ago the system got the latest bytes of the other side, read or
+// not; 0 where it does not tell.
+func (c *Conn) LastHeard() time.Duration {
+	ago := time.Duration(0)
+	err := c.control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return ago
+}
+
 // PeerGone says whether the other side has ended its stream or the connection, also
 // where bytes that it has sent before are still to be read.
 func (c *Conn) PeerGone() bool {
