Count the time that a first request has waited for the accept

Cause: a request's time began when it was read. Change: of a connection's first bytes the system tells how long ago they came (TCP_INFO). Measured: the test passes, the package with -race.

--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -43,6 +43,7 @@
 	unreadFor    = 5 * time.Second         // for the other side to read an answer
 	drainMid     = time.Second             // for a request that has begun, once draining
 	sweepEvery   = 100 * time.Millisecond
+	longestWait  = time.Minute // that is believed of a connection before its accept
 	// youngest is how old a connection must be at least to make room for
 	// another: its first request may wait to be read.
 	youngest  = 100 * time.Millisecond
@@ -425,6 +426,7 @@
 	parser http1.Parser
 	slots  []*slot
 	since  time.Time // when it was last waited for anew
+	heard  time.Time // when the latest bytes came
 	spoke  bool      // a byte has come
 	whole  bool      // a request has
 	ahead  int       // bytes of the bodies that wait
@@ -461,8 +463,14 @@
 	defer c.place()
 	c.inData = true
 	defer func() { c.inData = false }()
+	c.heard = time.Now()
+	if !c.spoke { // it may have waited to be accepted, with its first request
+		if waited := c.sock.LastHeard(); waited < longestWait {
+			c.heard = c.heard.Add(-waited)
+		}
+	}
 	if !c.parser.Mid() {
-		c.since = time.Now()
+		c.since = c.heard
 	}
 	c.spoke = true
 	c.parser.Feed(b)
@@ -518,7 +526,7 @@
 			c.reject(http.StatusTooManyRequests, "too many requests were sent ahead")
 		default:
 			c.since, c.whole = time.Now(), true // what is buffered behind it begins anew
-			s := &slot{close: m.Close, came: c.since}
+			s := &slot{close: m.Close, came: c.heard}
 			c.slots = append(c.slots, s)
 			c.ending = m.Close
 			if len(c.slots) > maxPipelined {
