--- /dev/null
+++ b/cli/soak_test.go
@@ -0,0 +1,315 @@
+package cli_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"onyxsail/internal/testkit"
+)
+
+const (
+	soakSeeds  = 8 // in CI; SOAK_SEEDS names another number, SOAK_FROM the first seed
+	soakNodes  = 4
+	soakWindow = 600 * time.Millisecond // for repeats
+	// held is what the test's own processes may be held up by on a busy machine. The exact
+	// limits are forced by stand-ins in the packages' own tests.
+	held = 150 * time.Millisecond
+	// drainGrace is the settings'; the drain counts as told when both discoveries, the old one
+	// and the new one of a move, have it.
+	drainGrace = 500 * time.Millisecond
+	// crossed is how soon a connection's end must show after a request was sent on it, if
+	// the two crossed: a request that is read is not ended over.
+	crossed = 100 * time.Millisecond
+)
+
+// soakRequest is one request and what became of it.
+type soakRequest struct {
+	id     string
+	keyed  bool
+	sent   time.Time // its last byte
+	within time.Duration
+	left   time.Time // when its client closed the connection over it
+	status int       // 0: no answer
+	ended  time.Time
+	err    error
+}
+
+// soakCall is a part that came to a node.
+type soakCall struct {
+	testkit.Call
+	node *testkit.Node
+	end  string
+}
+
+// soak is one seed's broker with all that goes on around it.
+type soak struct {
+	t      *testing.T
+	rng    *rand.Rand
+	listen string
+	longer time.Duration // the longest deadline
+
+	mu    sync.Mutex
+	all   []*soakRequest
+	calls []soakCall
+	term  time.Time
+}
+
+// Brokers under load, with nodes that fail, hang and drain, clients that leave, SIGHUPs in
+// series, a crowd in some runs, and SIGTERM with SIGKILL at its earliest, while clients
+// go on using open connections until then.
+func TestSoak(t *testing.T) {
+	number := func(name string, usual int) int {
+		if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+			return n
+		}
+		return usual
+	}
+	from := number("SOAK_FROM", 1)
+	atOnce := make(chan struct{}, 4)
+	for seed := from; seed < from+number("SOAK_SEEDS", soakSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			atOnce <- struct{}{}
+			defer func() { <-atOnce }()
+			(&soak{t: t, rng: rand.New(rand.NewPCG(uint64(seed), 0x50a4))}).run()
+		})
+	}
+}
+
+func (s *soak) run() {
+	deadlines := []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 4 * time.Second}
+	s.longer = deadlines[s.rng.IntN(len(deadlines))]
+	crowd, hangs := s.rng.IntN(3) == 0, s.rng.IntN(2) == 0
+	var nodes []*testkit.Node
+	var list []testkit.Entry
+	for i := range soakNodes {
+		n := testkit.NewNode(s.t, fmt.Sprintf("s-%d", i), false)
+		n.Work(s.work(n, s.rng.Uint64(), 0.05))
+		nodes, list = append(nodes, n), append(list, n.Entry())
+	}
+	discoveries := []*testkit.Discovery{testkit.NewDiscovery(s.t, list...), testkit.NewDiscovery(s.t, list...)}
+	file := func(d *testkit.Discovery) []byte {
+		settings := withDeadline(s.longer)
+		for _, class := range settings["classes"].([]any) {
+			class.(map[string]any)["windowMs"] = float64(soakWindow.Milliseconds())
+		}
+		return testkit.Config(d.Addr, list, settings, map[string]any{
+			"hand_over_ms": 550, "limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 128},
+		})
+	}
+	s.listen = freeAddr(s.t)
+	p := start(s.t, file(discoveries[0]), s.listen)
+	testkit.Eventually(s.t, "it is ready", func() bool { return ready(s.listen) })
+	over := make(chan struct{})
+	var clients sync.WaitGroup
+	for c := range 6 {
+		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
+		clients.Go(func() { s.client(c, rng, over) })
+	}
+	if crowd {
+		for range 150 {
+			if c, err := net.Dial("tcp", s.listen); err == nil {
+				defer c.Close()
+			}
+		}
+	}
+	signal := func(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) } // fails where it has ended
+	hups := s.rng.IntN(4)
+	for i := hups; i > 0; i-- {
+		time.Sleep(time.Duration(s.rng.IntN(200)) * time.Millisecond)
+		if err := os.WriteFile(p.file, file(discoveries[i%2]), 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+		signal(syscall.SIGHUP)
+	}
+	drained := nodes[s.rng.IntN(len(nodes))]
+	e := drained.Entry()
+	e.State = "terminating"
+	versions := []int{discoveries[0].Change(e), discoveries[1].Change(e)}
+	told := time.Now()
+	time.Sleep(time.Duration(200+s.rng.IntN(800)) * time.Millisecond)
+	if hangs { // through the whole of the stop
+		for range 2 {
+			n := nodes[s.rng.IntN(len(nodes))]
+			n.Work(s.work(n, 0, 1))
+		}
+	}
+	s.mu.Lock()
+	s.term = time.Now()
+	s.mu.Unlock()
+	signal(syscall.SIGTERM)
+	kill := time.NewTimer(killAfter(s.longer))
+	ended := make(chan error, 1)
+	go func() { ended <- p.cmd.Wait() }()
+	for range s.rng.IntN(3) {
+		time.Sleep(time.Duration(s.rng.IntN(150)) * time.Millisecond)
+		signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT}[s.rng.IntN(3)])
+	}
+	var killed time.Time
+	select {
+	case err := <-ended:
+		killed = time.Now()
+		if err != nil {
+			s.t.Errorf("it ended with %v\n%s", err, p.text())
+		}
+	case <-kill.C:
+		killed = time.Now()
+		_ = p.cmd.Process.Kill()
+		<-ended
+	}
+	close(over)
+	clients.Wait()
+	for i, d := range discoveries { // by the one that it follows: 4 s after a move at the latest
+		if at := d.Told(versions[i]); at.After(told) {
+			told = at
+		}
+	}
+	if hups > 0 {
+		told = told.Add(4 * time.Second)
+	}
+	s.audit(drained, told, killed)
+	if s.t.Failed() {
+		s.t.Logf("deadline %v, crowd %v, nodes that hang %v\n%s", s.longer, crowd, hangs, p.text())
+	}
+}
+
+// work ends a node's parts in some way or other; bad is the share of each of the bad ways,
+// from 1 on all hang.
+func (s *soak) work(n *testkit.Node, seed uint64, bad float64) func(testkit.Call) string {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 1))
+	return func(call testkit.Call) string {
+		mu.Lock()
+		x, wait := rng.Float64(), time.Duration(rng.IntN(20))*time.Millisecond
+		mu.Unlock()
+		time.Sleep(wait)
+		end := testkit.Done
+		for i, way := range []string{testkit.Silent, testkit.Fail, testkit.Full, testkit.Break} {
+			if x < bad*float64(i+1) {
+				end = way
+				break
+			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls = append(s.calls, soakCall{call, n, end})
+		return end
+	}
+}
+
+// client sends one request after another on a connection that it keeps, until the broker
+// ends it; it leaves some.
+func (s *soak) client(c int, rng *rand.Rand, over <-chan struct{}) {
+	var conn net.Conn
+	var in *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-over:
+			return
+		default:
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", s.listen); err != nil {
+				return // the door is closed
+			}
+			in = bufio.NewReader(conn)
+		}
+		r := &soakRequest{id: fmt.Sprintf("c%d-%d", c, i), keyed: rng.IntN(3) == 0, within: s.longer * time.Duration(60+rng.IntN(41)) / 100}
+		text := query(r.id, r.within)
+		if r.keyed {
+			text = strings.Replace(strings.Replace(text, "/screen", "/edit", 1), "X-Class: screen", "X-Class: edit\r\nIdempotency-Key: "+r.id, 1)
+		}
+		if _, r.err = io.WriteString(conn, text); r.err != nil {
+			conn = nil // ended before this one
+			continue
+		}
+		r.sent = time.Now()
+		last := false
+		if rng.IntN(12) == 0 {
+			time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+			_ = conn.Close()
+			r.left = time.Now()
+		} else {
+			_ = conn.SetReadDeadline(r.sent.Add(r.within + time.Second))
+			var res *http.Response
+			if res, r.err = http.ReadResponse(in, nil); r.err == nil {
+				last = res.Close
+				if _, r.err = io.Copy(io.Discard, res.Body); r.err == nil {
+					r.status = res.StatusCode
+				}
+			}
+			r.ended = time.Now()
+		}
+		if last || r.status == 0 || !r.left.IsZero() {
+			_ = conn.Close()
+			conn = nil
+		}
+		s.mu.Lock()
+		s.all = append(s.all, r)
+		s.mu.Unlock()
+	}
+}
+
+// audit holds what happened against the protocol's rules.
+func (s *soak) audit(drained *testkit.Node, told, killed time.Time) {
+	requests := map[string]*soakRequest{}
+	for _, r := range s.all {
+		requests[r.id] = r
+		late := r.ended.Sub(r.sent) > r.within+500*time.Millisecond+held
+		switch {
+		case !r.left.IsZero():
+		case r.status != 0 && late:
+			s.t.Errorf("%s: answered %v after it was sent, its client waits %v", r.id, r.ended.Sub(r.sent), r.within)
+		case r.status == 0 && errors.Is(r.err, os.ErrDeadlineExceeded):
+			s.t.Errorf("%s: no answer in %v", r.id, r.ended.Sub(r.sent))
+		case r.status == 0 && r.ended.Sub(r.sent) > crossed:
+			s.t.Errorf("%s: its connection ended %v after it was sent, %v after SIGTERM, %v before the kill: %v",
+				r.id, r.ended.Sub(r.sent), r.sent.Sub(s.term), killed.Sub(r.sent), r.err)
+		case r.status == 0 && r.sent.Before(s.term):
+			s.t.Errorf("%s: no answer, sent %v before SIGTERM: %v", r.id, s.term.Sub(r.sent), r.err)
+		}
+	}
+	slices.SortFunc(s.calls, func(a, b soakCall) int { return a.At.Compare(b.At) })
+	ran, times := map[string]time.Time{}, map[string]int{} // ran: the first that may have
+	for _, call := range s.calls {
+		name, _, _ := strings.Cut(call.ID, ".")
+		r := requests[name]
+		if r == nil {
+			continue // its client had no time to note it
+		}
+		if first, ok := ran[call.ID]; ok && r.keyed && call.At.Sub(first) > soakWindow+held {
+			s.t.Errorf("%s: repeated %v after its first attempt that may have run", call.ID, call.At.Sub(first))
+		} else if !ok && call.end != testkit.Full {
+			ran[call.ID] = call.At
+		}
+		if times[call.ID]++; times[call.ID] > 3 {
+			s.t.Errorf("%s: %d attempts", call.ID, times[call.ID])
+		}
+		if !r.left.IsZero() && call.At.Sub(r.left) > 100*time.Millisecond+held {
+			s.t.Errorf("%s: begins %v after its client left", call.ID, call.At.Sub(r.left))
+		}
+		if left := r.within - call.At.Sub(r.sent); call.Wait > left+150*time.Millisecond+held {
+			s.t.Errorf("%s: told %v, its client has %v left", call.ID, call.Wait, left)
+		}
+		if call.node == drained && call.At.Sub(told) > drainGrace+held {
+			s.t.Errorf("%s: begins at %s %v after its drain was told", call.ID, call.node.ID, call.At.Sub(told))
+		}
+	}
+	if len(s.all) < 6 { // some wait for 4 s each
+		s.t.Errorf("%d requests only", len(s.all))
+	}
+}
