Add failing tests: calls off where forbidden, answers under the least share

Measured failing: a C frame goes out where caps.cancel is false; the core passes on an answer of no part at all.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -440,3 +440,21 @@
 		t.Error("state is left")
 	}
 }
+
+// An answer of less than the class's least share is none, whatever the module says.
+func TestNoAnswerUnderTheLeastShare(t *testing.T) {
+	for in, want := range []Verdict{Failed, Failed, Served} { // parts that are in, of two
+		c, _ := newCore(3)
+		c.opts.Settings.Classes[0].Floor = 0.7
+		c.turn()
+		now, got := time.Now(), make(replies, 1)
+		c.take(input{id: 1, query: ask(), replier: got}, now)
+		for _, p := range c.queries[1].parts[:in] {
+			p.in, p.value = true, []byte("1")
+		}
+		c.conclude(&decide.Action{Kind: decide.Answer, ID: c.queries[1].event}, now)
+		if r := <-got; r.Verdict != want || want == Failed && len(r.Values) != 0 {
+			t.Errorf("%d parts in: %+v, want %v", in, r, want)
+		}
+	}
+}
--- a/daemon/rules_test.go
+++ b/daemon/rules_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"onyxsail/broker"
 	"onyxsail/config"
 	"onyxsail/daemon"
 	"onyxsail/internal/testkit"
@@ -493,3 +495,26 @@
 		})
 	})
 }
+
+// Where the settings do not let a broker call parts off, none is told so by a frame. Of
+// Flight's streams that can't be told: they end by the deadline that each carries.
+func TestNothingIsCalledOffWhereThatIsForbidden(t *testing.T) {
+	forbid := func(s map[string]any) { s["caps"].(map[string]any)["cancel"] = false }
+	each(t, 2, forbid, func(t *testing.T, r *rig) {
+		r.all(testkit.Silent)
+		if got := r.ask(context.Background(), testkit.Query{Class: "order", Shards: six[:1], Within: 300 * time.Millisecond}); got.Kind == "served" {
+			t.Errorf("got %+v", got)
+		}
+		r.all(testkit.Done)
+		for range 3 { // on the same connections, so that a word about the first would have come
+			if got := r.ask(context.Background(), testkit.Query{Class: "screen", Shards: six}); got.Kind != "served" {
+				t.Errorf("got %+v", got)
+			}
+		}
+		for _, n := range r.nodes {
+			if given := n.GivenUp(); len(given) != 0 && !strings.HasPrefix(n.Addr, broker.FlightScheme) {
+				t.Errorf("%s was told to give up %v", n.ID, given)
+			}
+		}
+	})
+}
--- a/httpfront/terms_test.go
+++ b/httpfront/terms_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -200,3 +201,42 @@
 		t.Errorf("the client has %v left, the core is told %v", left, told)
 	}
 }
+
+// Requests at the limits that the protocol gives, and next to them.
+func TestRequestsAtTheirLimits(t *testing.T) {
+	const most = 64 << 10
+	padded := func(size int) string { return good[:len(good)-1] + strings.Repeat(" ", size-len(good)) + "}" }
+	sized := func(size int, heads string) string {
+		return "POST /screen HTTP/1.1\r\nHost: a\r\nX-Class: screen\r\n" + heads + "Content-Length: " + strconv.Itoa(size) + "\r\n\r\n" + padded(size)
+	}
+	chunked := func(size int, trailer string) string {
+		whole := post("/screen", heads, padded(size))
+		return whole[:len(whole)-len("\r\n")] + trailer + "\r\n"
+	}
+	deadline := func(ms string) string { return strings.Replace(heads, "480", ms, 1) }
+	for _, c := range []struct {
+		name, text string
+		status     int // 0: it reaches the core
+	}{
+		{"64 KiB", sized(most, heads), 0},
+		{"64 KiB and a byte", sized(most+1, heads), 413},
+		{"64 KiB in chunks", chunked(most, ""), 0},
+		{"64 KiB and a byte in chunks", chunked(most+1, ""), 413},
+		{"chunks with trailers", chunked(1000, "X-Sum: 1\r\nX-More: 2\r\n"), 0},
+		{"a deadline of 1", sized(1000, deadline("1")), 0},
+		{"a deadline of 0", sized(1000, deadline("0")), 400},
+		{"a deadline that is not whole", sized(1000, deadline("1.5")), 400},
+		{"a long deadline", sized(1000, deadline("2147483647")), 0},
+	} {
+		f, core := start(t)
+		client, in := dial(t, f)
+		say(t, client, c.text)
+		if c.status != 0 {
+			if res, _ := read(t, in); res.StatusCode != c.status || core.taken() != 0 {
+				t.Errorf("%s: status %d, %d taken", c.name, res.StatusCode, core.taken())
+			}
+			continue
+		}
+		testkit.Eventually(t, c.name+" is taken", func() bool { return core.taken() == 1 })
+	}
+}
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -222,6 +222,23 @@
 	return c, s, peer, cn
 }
 
+// However the system words the end of a connection, what had left whole may have run.
+func TestBrokenConnectionsBySystemError(t *testing.T) {
+	for i, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.EPIPE, syscall.ENETUNREACH} {
+		c, s := client(t, 8, 0)
+		n := testkit.NewNode(t, "n", false)
+		n.Always(testkit.Silent)
+		c.Update([]broker.Node{{ID: "n", Addr: n.Addr}})
+		c.send("n", attempt(i))
+		n.Wait(t, "the part", func() bool { return len(n.Calls()) == 1 })
+		c.mu.Lock()
+		cn := c.nodes["n"].conns[0]
+		c.mu.Unlock()
+		cn.Closed(errno)
+		s.wait(t, broker.AttemptID(i), decide.Broken)
+	}
+}
+
 func TestPartialWriteNeverRan(t *testing.T) {
 	_, s, _, _ := jammed(t)
 	// The connection's bytes do not leave: it is given up, and nobody else waits on it.
