--- a/broker/broker.go
+++ b/broker/broker.go
@@ -595,8 +595,12 @@
 		return // it ended in this turn, or a part was named, which owes no answer
 	}
 	r := Reply{Verdict: Failed}
+	need, floor := c.shares(q)
 	switch a.Kind {
 	case decide.Answer:
+		if share := q.share(); share < floor || share == 0 { // never from less than the least share
+			break
+		}
 		r.Verdict, r.Whole = Served, a.Whole
 		for _, p := range q.parts {
 			if p.in {
@@ -604,7 +608,7 @@
 			}
 		}
 		// Never call an answer whole that is missing a part a whole one needs.
-		r.Whole = r.Whole && c.enough(q)
+		r.Whole = r.Whole && q.share() >= need
 	case decide.Refuse:
 		r.Verdict, r.RetryAfter = Refused, duration(a.Ms)
 	case decide.Abort:
@@ -616,18 +620,26 @@
 	c.finish(q, r, now)
 }
 
-// enough says whether the parts that are in make a whole answer.
-func (c *Core) enough(q *query) bool {
-	need, in := 1.0, 0.0
-	if q.Class < len(c.opts.Settings.Classes) {
-		need = c.opts.Settings.Classes[q.Class].Need
+// shareSlack is how much the parts' shares may fall short of a sum, as they are rounded.
+const shareSlack = 1e-4
+
+// shares are what a whole answer of a query's class needs, and what any answer does.
+func (c *Core) shares(q *query) (need, floor float64) {
+	if q.Class >= len(c.opts.Settings.Classes) {
+		return 1 - shareSlack, 1 - shareSlack
 	}
+	class := &c.opts.Settings.Classes[q.Class]
+	return class.Need - shareSlack, class.Floor - shareSlack
+}
+
+// share is the share of the answer that is in.
+func (q *query) share() (in float64) {
 	for i, p := range q.parts {
 		if p.in {
 			in += q.Parts[i].Share
 		}
 	}
-	return in >= need-1e-4
+	return in
 }
 
 // drop forgets a query; attempts still out are given up, and each keeps its
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -162,6 +162,7 @@
 	whole := make(replies, 1)
 	c.queries[1].replier = whole
 	p.in, p.value = true, []byte("1")
+	c.opts.Settings.Classes[0].Floor = 0.5 // an answer of one part may be given, but not as a whole one
 	c.conclude(&decide.Action{Kind: decide.Answer, ID: c.queries[1].event, Whole: true}, now)
 	if r := <-whole; r.Whole || len(r.Values) != 1 {
 		t.Errorf("an answer that misses a part is called whole: %+v", r)
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -61,6 +61,7 @@
 	MaxConns       int                 // over all nodes
 	Observer       broker.WireObserver // nil: nobody is told
 	Probes         bool                // nodes answer probes
+	NoCancel       bool                // nodes may not be told that a part is given up
 	Log            zerolog.Logger
 }
 
@@ -544,6 +545,9 @@
 		cn.waiting = time.Time{} // the node may answer nothing more, rightly
 	}
 	cn.abandoned[cl.id] = cl.ID
+	if c.opts.NoCancel {
+		return
+	}
 	if _, err := cn.sock.Write(appendCancel(nil, cl.id)); err != nil {
 		cn.sock.Close()
 	}
