--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -459,3 +459,50 @@
 		}
 	}
 }
+
+// An answer of discovery may name a node more than once; what it says last holds, and a
+// drain among it is told anew. What a whole list leaves out is gone, though a change that
+// was on its way names it: that one is newer and brings it back.
+func TestEntriesInARow(t *testing.T) {
+	in, draining, gone := Node{ID: "a", Addr: "x"}, Node{ID: "a", Addr: "x", State: decide.Draining}, Node{ID: "a", Addr: "x", State: decide.Gone}
+	moved := Node{ID: "a", Addr: "z"}
+	c, nodes := newCore(3)
+	heard := &heardNodes{fakeNodes: nodes}
+	c.opts.Nodes = heard
+	c.turn()
+	now := time.Now()
+	for i, step := range []struct {
+		kind    decide.ListKind
+		entries []Node
+		state   decide.State
+		addr    string // "": not listed
+		drains  bool
+	}{
+		{decide.ListDelta, []Node{draining, in}, decide.Ready, "x", false},
+		{decide.ListDelta, []Node{in, draining}, decide.Draining, "x", true},
+		{decide.ListDelta, []Node{gone, in, draining, moved}, decide.Ready, "z", false},
+		{decide.ListDelta, []Node{moved, gone}, decide.Gone, "", false},
+		{decide.ListDelta, []Node{in}, decide.Ready, "x", false},
+		{decide.ListFull, []Node{{ID: "b", Addr: "y"}}, decide.Gone, "", false},
+		{decide.ListDelta, []Node{draining}, decide.Draining, "x", true},
+		{decide.ListFull, []Node{draining, in}, decide.Ready, "x", false},
+	} {
+		at := now.Add(time.Duration(i) * time.Second)
+		c.roster(Roster{Kind: step.kind, Nodes: step.entries}, at)
+		if s := c.nodes[c.names["a"]].State; s != step.state {
+			t.Errorf("step %d: state %v, want %v", i, s, step.state)
+		}
+		listed := ""
+		for _, n := range heard.list {
+			if n.ID != "a" {
+				continue
+			}
+			if listed = n.Addr; n.Latest.IsZero() == step.drains || step.drains && n.Latest.After(at.Add(drainGuard)) {
+				t.Errorf("step %d: work may begin until %v, now %v", i, n.Latest, at)
+			}
+		}
+		if listed != step.addr {
+			t.Errorf("step %d: at %q, want %q", i, listed, step.addr)
+		}
+	}
+}
--- a/discovery/told_test.go
+++ b/discovery/told_test.go
@@ -386,3 +386,30 @@
 		t.Error("the call went on after the stop")
 	}
 }
+
+// A version is any number of 64 bits, as on the simulator's wire, and is told back as it
+// came; the same one with the whole list counts, as do changes under the same.
+func TestVersionsAreNumbersOf64Bits(t *testing.T) {
+	const huge = "18446744073709551615"
+	list := func(version string, full bool) string {
+		return answered(fmt.Sprintf(`{"version":%s,"full":%v,"servers":[{"id":"s-1","addr":"127.0.0.1:1","state":"in_service","cell":0,"weight":1.0,"started_ms":0}]}`, version, full))
+	}
+	s := newScript(t, func(n int, conn net.Conn) {
+		versions := []string{"9223372036854775807", "9223372036854775808", huge, huge}
+		if n <= len(versions) {
+			fmt.Fprint(conn, list(versions[n-1], n == 1 || n == len(versions)))
+		}
+	})
+	news := following(t, Options{Addr: s.addr})
+	for i := range 4 {
+		select {
+		case <-news:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("answer %d was not taken", i)
+		}
+	}
+	testkit.Eventually(t, "the next call", func() bool { return s.count() > 4 })
+	if q, _ := s.call(5); q.Get("after") != huge {
+		t.Errorf("asked for what comes after %q", q.Get("after"))
+	}
+}
