--- a/discovery/client.go
+++ b/discovery/client.go
@@ -158,7 +158,7 @@
 		if within = wait + watchSlack; c.opts.Brokers == 0 {
 			within = wait + freeSlack
 		}
-		q := url.Values{"after": {strconv.FormatInt(c.version, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+		q := url.Values{"after": {strconv.FormatUint(uint64(c.version), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 		path += "?" + q.Encode()
 	}
 	m, err := c.call(ctx, path, within)
@@ -180,9 +180,9 @@
 	if !l.Full && !c.whole {
 		return errors.New("calling discovery: changes came where the whole list was asked for")
 	}
-	if !l.Full && l.Version < c.version { // it has begun anew: what it told before may not hold
+	if !l.Full && uint64(l.Version) < uint64(c.version) { // it has begun anew: what it told before may not hold
 		c.whole = false
-		return fmt.Errorf("calling discovery: version %d after %d", l.Version, c.version)
+		return fmt.Errorf("calling discovery: version %d after %d", uint64(l.Version), uint64(c.version))
 	}
 	c.version = l.Version
 	kind := decide.ListDelta
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -16,7 +16,7 @@
 
 // List is one answer of discovery.
 type List struct {
-	Version int64
+	Version int64 // the bits of an unsigned number, as it is told
 	Full    bool
 	Nodes   []broker.Node
 	// Faults are addresses that cannot be used; their nodes' others stand.
@@ -42,7 +42,7 @@
 }
 
 type message struct {
-	Version *int64  `json:"version"`
+	Version *uint64 `json:"version"`
 	Full    *bool   `json:"full"`
 	Servers []entry `json:"servers"`
 }
@@ -56,7 +56,7 @@
 	if m.Version == nil || m.Full == nil {
 		return nil, fmt.Errorf("list: version or full is missing")
 	}
-	l := &List{Version: *m.Version, Full: *m.Full}
+	l := &List{Version: int64(*m.Version), Full: *m.Full}
 	for i, e := range m.Servers {
 		n := broker.Node{
 			ID: e.ID, Addr: e.Addr, Zone: zone(zones, e.Zone), Kind: max(0, index(kinds, e.Kind)),
