Date a node's second start after its first

Cause: the first may be dated at its telling, the second by the soonest told, and pass for no start. Measured: the case added to TestStartsAreDatedWithoutTrustInWallClocks failed and passes.

--- a/broker/starts.go
+++ b/broker/starts.go
@@ -65,11 +65,15 @@
 		if n.Started.IsZero() {
 			continue
 		}
-		if known := own(n); known != nil && known.Started.Equal(n.Started) {
+		known := own(n)
+		if known != nil && known.Started.Equal(n.Started) {
 			dated[i] = known.readyAt
 			continue
 		}
 		dated[i] = c.ms(now.Add(-c.starts.age(wall, n.Started)))
+		if known != nil && dated[i] <= known.readyAt { // it has started again since, whatever the clocks say
+			dated[i] = c.ms(now)
+		}
 	}
 	if r.Kind != decide.ListCached {
 		c.starts.followed = true
--- a/broker/starts_test.go
+++ b/broker/starts_test.go
@@ -43,6 +43,10 @@
 		if again := tell("z", at.Add(time.Second), time.Hour+time.Second); again != time.Second {
 			t.Errorf("step %v: told once more, it counts as %v old, want a second", step, again)
 		}
+		before := c.nodes[c.names["z"]].readyAt // a node that starts again starts later than before
+		if tell("z", at.Add(2*time.Second), lag+3*time.Second); c.nodes[c.names["z"]].readyAt <= before {
+			t.Errorf("step %v: a second start is dated at %v, the first at %v", step, c.nodes[c.names["z"]].readyAt, before)
+		}
 	}
 }
 
