--- a/broker/starts_test.go
+++ b/broker/starts_test.go
@@ -21,7 +21,7 @@
 	const warmUp = 15 * time.Second
 	for _, step := range []time.Duration{0, 5 * time.Second, -5 * time.Second, time.Hour, -time.Hour} {
 		c, _ := newCore(3)
-		c.opts.Settings.ColdMs = float64(warmUp.Milliseconds())
+		c.starts.warmUp = warmUp
 		c.turn()
 		now := c.start.Add(time.Minute)
 		const lag = 2 * time.Second // of the list
