--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,9 +40,10 @@
 	maxWrite    = 512 << 10       // bytes that wait at one connection
 	drainWithin = 8 * time.Second // beyond the longest deadline nothing is left
 	// readyWithin is how long a broker without a list waits for one before it takes
-	// clients all the same: nine in ten that restart must be ready within 10 s, and a
-	// refusal at once, with a time to come back, is more than a closed door.
-	readyWithin = 7 * time.Second
+	// clients all the same: nine in ten that restart must be ready within 10 s, or 6 s on a
+	// day that ends sooner, and a refusal at once, with a time to come back, is more than a
+	// closed door.
+	readyWithin = 5 * time.Second
 	// The platform kills a broker killGrace after its longest deadline, which counts as
 	// longestCounted at most, from SIGTERM on at the earliest (PROTOCOL, "Figures"). All
 	// that was taken has its answer stopSpare before: so much for a program that is held up
--- a/httpfront/codec.go
+++ b/httpfront/codec.go
@@ -16,7 +16,7 @@
 	"onyxsail/internal/query"
 )
 
-// MaxBody is the largest body of a request.
+// MaxBody is the largest body of a request, and of an answer.
 const MaxBody = 64 << 10
 
 // fault is a request that cannot be taken, with the status that says so.
@@ -111,6 +111,9 @@
 		if err != nil { // strings and numbers only: cannot be
 			return encode(dst, http.StatusInternalServerError, "encoding failed", 0, last)
 		}
+		if len(data) > MaxBody {
+			return encode(dst, http.StatusBadGateway, "the answer is too large", 0, last)
+		}
 		return frame(dst, http.StatusOK, "application/json", data, 0, last)
 	case broker.Refused:
 		return encode(dst, http.StatusServiceUnavailable, "refused", r.RetryAfter, last)
