--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -366,7 +367,8 @@
 func (d *Daemon) answerWithin() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range d.cfg.Settings.Classes {
-		longest = max(longest, time.Duration(class.DeadlineMs*float64(time.Millisecond)))
+		deadline := time.Duration(class.DeadlineMs * float64(time.Millisecond))
+		longest = max(longest, cmp.Or(deadline, longestCounted)) // without one clients may wait for any time
 	}
 	return min(longest, longestCounted) + killGrace - stopSpare
 }
