Keep long-running nodes warm that come back, or come behind an empty list

Cause: since starts are dated by their telling, an old start that was news counted as a clock's step: behind an empty first list, or after 30 s off the list. Change: what follows counts from the first list with nodes; starts of forgotten nodes are remembered, 4,096 at most. Measured: TestLongRunnersStayWarm failed on both, passes.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -396,6 +396,7 @@
 			}
 			all = append(all, n.Node)
 		case now.Sub(n.left) > forgetAfter: // each release brings new ids: the old must not pile up
+			c.starts.remember(n)
 			delete(c.names, n.ID)
 			delete(c.nodes, addr)
 		}
--- a/broker/starts.go
+++ b/broker/starts.go
@@ -17,9 +17,21 @@
 // told before, nothing else is to be had: the told time is believed.
 type startTimes struct {
 	warmUp   time.Duration // after a start
-	followed bool          // an answer of discovery has been taken in: what comes now is news
+	followed bool          // an answer with nodes has been taken in: what comes now is news
 	sampled  bool
 	soonest  time.Duration // the least age, by the wall clocks, at which a start was told
+	former   map[string]*node
+}
+
+// maxFormer bounds the nodes off the list whose starts are remembered.
+const maxFormer = 4096
+
+// remember keeps the start of a node that the core forgets: it may come back as it was.
+func (s *startTimes) remember(n *node) {
+	if s.former == nil || len(s.former) >= maxFormer {
+		s.former = map[string]*node{}
+	}
+	s.former[n.ID] = n
 }
 
 // sample takes in the news of starts, told at wall, before they are dated.
@@ -50,7 +62,12 @@
 // long ago, in the roster's order. A start that is told once more keeps its time.
 func (c *Core) dateStarts(r *Roster, now time.Time) []float64 {
 	wall := c.wall(now)
-	own := func(n *Node) *node { return c.nodes[c.names[n.ID]] }
+	own := func(n *Node) *node {
+		if known := c.nodes[c.names[n.ID]]; known != nil {
+			return known
+		}
+		return c.starts.former[n.ID]
+	}
 	var news []time.Time
 	for i := range r.Nodes {
 		n := &r.Nodes[i]
@@ -75,7 +92,7 @@
 			dated[i] = c.ms(now)
 		}
 	}
-	if r.Kind != decide.ListCached {
+	if r.Kind != decide.ListCached && len(c.nodes)+len(r.Nodes) > 0 {
 		c.starts.followed = true
 	}
 	return dated
--- a/broker/starts_test.go
+++ b/broker/starts_test.go
@@ -66,3 +66,37 @@
 		}
 	}
 }
+
+// What started long ago is not taken for cold as the list was empty at first, or as the
+// node was off it for longer than it is remembered otherwise.
+func TestLongRunnersStayWarm(t *testing.T) {
+	const warmUp = 15 * time.Second
+	c, _ := newCore(3)
+	c.queue.take()
+	c.starts.warmUp = warmUp
+	started := c.start.Round(0).Add(-time.Hour)
+	at := c.start.Add(time.Second)
+	list := func(kind decide.ListKind, ids ...string) {
+		r := Roster{Kind: kind}
+		for _, id := range ids {
+			r.Nodes = append(r.Nodes, Node{ID: id, Addr: id, Started: started})
+		}
+		c.roster(r, at)
+	}
+	warm := func(when string) {
+		t.Helper()
+		if age := toldAge(c, at); age < warmUp {
+			t.Errorf("%s: a node that started an hour ago counts as %v old", when, age)
+		}
+	}
+	list(decide.ListFull)
+	at = at.Add(time.Second)
+	list(decide.ListDelta, "a", "b")
+	warm("behind an empty list")
+	list(decide.ListFull, "b")
+	at = at.Add(forgetAfter + time.Second)
+	list(decide.ListDelta, "b") // here the core forgets a
+	at = at.Add(time.Minute)
+	list(decide.ListDelta, "a")
+	warm("back on the list")
+}
