Add a failing test and hold-ups to the soak: a crowd that says nothing holds up requests

Measured failing: a request behind five times as many silent connections as there are places is taken after 1.03 s.

--- a/cli/soak_test.go
+++ b/cli/soak_test.go
@@ -24,9 +24,10 @@
 	soakSeeds  = 8 // in CI; SOAK_SEEDS names another number, SOAK_FROM the first seed
 	soakNodes  = 4
 	soakWindow = 600 * time.Millisecond // for repeats
-	// held is what the test's own processes may be held up by on a busy machine. The exact
-	// limits are forced by stand-ins in the packages' own tests.
-	held = 150 * time.Millisecond
+	// heldUp is what a broker may be held up by at any moment (the standing test's 0.15 s),
+	// and what the test's own processes may be on a busy machine. The exact limits are forced
+	// by stand-ins in the packages' own tests.
+	heldUp = 150 * time.Millisecond
 	// drainGrace is the settings'; the drain counts as told when both discoveries, the old one
 	// and the new one of a move, have it.
 	drainGrace = 500 * time.Millisecond
@@ -60,6 +61,7 @@
 	rng    *rand.Rand
 	listen string
 	longer time.Duration // the longest deadline
+	held   time.Duration // what the broker, or the test, may be held up by
 
 	mu    sync.Mutex
 	all   []*soakRequest
@@ -92,7 +94,8 @@
 func (s *soak) run() {
 	deadlines := []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 4 * time.Second}
 	s.longer = deadlines[s.rng.IntN(len(deadlines))]
-	crowd, hangs := s.rng.IntN(3) == 0, s.rng.IntN(2) == 0
+	crowd, hangs, stops := s.rng.IntN(3) == 0, s.rng.IntN(2) == 0, s.rng.IntN(2) == 0
+	s.held = heldUp
 	var nodes []*testkit.Node
 	var list []testkit.Entry
 	for i := range soakNodes {
@@ -127,6 +130,11 @@
 		}
 	}
 	signal := func(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) } // fails where it has ended
+	if stops {
+		s.held += heldUp
+		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 3))
+		clients.Go(func() { hold(rng, signal, over) })
+	}
 	hups := s.rng.IntN(4)
 	for i := hups; i > 0; i-- {
 		time.Sleep(time.Duration(s.rng.IntN(200)) * time.Millisecond)
@@ -182,7 +190,21 @@
 	}
 	s.audit(drained, told, killed)
 	if s.t.Failed() {
-		s.t.Logf("deadline %v, crowd %v, nodes that hang %v\n%s", s.longer, crowd, hangs, p.text())
+		s.t.Logf("deadline %v, crowd %v, nodes that hang %v, held up %v\n%s", s.longer, crowd, hangs, stops, p.text())
+	}
+}
+
+// hold holds the broker up now and then.
+func hold(rng *rand.Rand, signal func(syscall.Signal), over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(time.Duration(rng.IntN(300)) * time.Millisecond):
+		}
+		signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rng.Int64N(int64(heldUp))))
+		signal(syscall.SIGCONT)
 	}
 }
 
@@ -269,7 +291,7 @@
 	requests := map[string]*soakRequest{}
 	for _, r := range s.all {
 		requests[r.id] = r
-		late := r.ended.Sub(r.sent) > r.within+500*time.Millisecond+held
+		late := r.ended.Sub(r.sent) > r.within+500*time.Millisecond+s.held
 		switch {
 		case !r.left.IsZero():
 		case r.status != 0 && late:
@@ -291,7 +313,7 @@
 		if r == nil {
 			continue // its client had no time to note it
 		}
-		if first, ok := ran[call.ID]; ok && r.keyed && call.At.Sub(first) > soakWindow+held {
+		if first, ok := ran[call.ID]; ok && r.keyed && call.At.Sub(first) > soakWindow+s.held {
 			s.t.Errorf("%s: repeated %v after its first attempt that may have run", call.ID, call.At.Sub(first))
 		} else if !ok && call.end != testkit.Full {
 			ran[call.ID] = call.At
@@ -299,13 +321,13 @@
 		if times[call.ID]++; times[call.ID] > 3 {
 			s.t.Errorf("%s: %d attempts", call.ID, times[call.ID])
 		}
-		if !r.left.IsZero() && call.At.Sub(r.left) > 100*time.Millisecond+held {
+		if !r.left.IsZero() && call.At.Sub(r.left) > 100*time.Millisecond+s.held {
 			s.t.Errorf("%s: begins %v after its client left", call.ID, call.At.Sub(r.left))
 		}
-		if left := r.within - call.At.Sub(r.sent); call.Wait > left+150*time.Millisecond+held {
+		if left := r.within - call.At.Sub(r.sent); call.Wait > left+150*time.Millisecond+s.held {
 			s.t.Errorf("%s: told %v, its client has %v left", call.ID, call.Wait, left)
 		}
-		if call.node == drained && call.At.Sub(told) > drainGrace+held {
+		if call.node == drained && call.At.Sub(told) > drainGrace+s.held {
 			s.t.Errorf("%s: begins at %s %v after its drain was told", call.ID, call.node.ID, call.At.Sub(told))
 		}
 	}
--- a/httpfront/terms_test.go
+++ b/httpfront/terms_test.go
@@ -255,3 +255,19 @@
 		}
 	}
 }
+
+// A crowd that connects and says nothing holds up no request for long: where places are
+// scarce such a connection goes at once, as there is no answer of it to protect.
+func TestCrowdHoldsUpNoRequest(t *testing.T) {
+	f, core := start(t)
+	for range 5 * cap(f.slots) { // which never close: they wait for the front to do it
+		dial(t, f)
+	}
+	began := time.Now()
+	client, _ := dial(t, f)
+	say(t, client, named("a"))
+	testkit.Eventually(t, "the request is taken", func() bool { return core.taken() == 1 })
+	if took, most := time.Since(began), 7*youngest; took > most {
+		t.Errorf("taken after %v, want %v at most", took, most)
+	}
+}
