Let silent connections go at once where places are scarce; more trouble in the soak

Cause: an ended connection kept its place for 0.1 s, 16 at a time, to protect an answer that a silent one never had.

--- a/cli/soak_test.go
+++ b/cli/soak_test.go
@@ -28,6 +28,8 @@
 	// and what the test's own processes may be on a busy machine. The exact limits are forced
 	// by stand-ins in the packages' own tests.
 	heldUp = 150 * time.Millisecond
+	// lastConnect is until when new connections come after SIGTERM.
+	lastConnect = 400 * time.Millisecond
 	// drainGrace is the settings'; the drain counts as told when both discoveries, the old one
 	// and the new one of a move, have it.
 	drainGrace = 500 * time.Millisecond
@@ -130,6 +132,9 @@
 		}
 	}
 	signal := func(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) } // fails where it has ended
+	if cuts := rand.New(rand.NewPCG(s.rng.Uint64(), 4)); cuts.IntN(2) == 0 {
+		clients.Go(func() { cut(cuts, nodes, over) })
+	}
 	if stops {
 		s.held += heldUp
 		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 3))
@@ -143,6 +148,10 @@
 		}
 		signal(syscall.SIGHUP)
 	}
+	if s.rng.IntN(3) == 0 { // the watches fall silent
+		discoveries[0].Hush()
+		discoveries[1].Hush()
+	}
 	drained := nodes[s.rng.IntN(len(nodes))]
 	e := drained.Entry()
 	e.State = "terminating"
@@ -208,6 +217,18 @@
 	}
 }
 
+// cut resets all connections of a node now and then.
+func cut(rng *rand.Rand, nodes []*testkit.Node, over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(time.Duration(rng.IntN(400)) * time.Millisecond):
+			nodes[rng.IntN(len(nodes))].Cut()
+		}
+	}
+}
+
 // work ends a node's parts in some way or other; bad is the share of each of the bad ways,
 // from 1 on all hang.
 func (s *soak) work(n *testkit.Node, seed uint64, bad float64) func(testkit.Call) string {
@@ -244,6 +265,12 @@
 		default:
 		}
 		if conn == nil {
+			s.mu.Lock()
+			late := !s.term.IsZero() && time.Since(s.term) > lastConnect
+			s.mu.Unlock()
+			if late {
+				return
+			}
 			var err error
 			if conn, err = net.Dial("tcp", s.listen); err != nil {
 				return // the door is closed
--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -222,6 +222,17 @@
 	return false
 }
 
+// discard closes a connection that has been ended and never carried a byte: it has no
+// answer that its client could still read, and others want its place.
+func (c *conn) discard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended && !c.spoke && !c.closed {
+		c.closed = true
+		c.sock.Close()
+	}
+}
+
 // reject answers what cannot be read, after the answers before it, and ends
 // the connection: where the next request begins is not known.
 func (c *conn) reject(status int, why string) {
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -229,6 +229,9 @@
 		}
 		for _, c := range f.longest(v.state, v.age) {
 			if c.over(v.state) {
+				if v.state == silent {
+					c.discard()
+				}
 				f.mu.Lock()
 				f.ousted[v.state]++
 				f.mu.Unlock()
