--- a/config/read_test.go
+++ b/config/read_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"syscall"
 	"testing"
+
+	"onyxsail/internal/testkit"
 )
 
 // A file that can't be read for a moment, for want of a descriptor or as its disk fails, is
@@ -32,3 +34,17 @@
 		}
 	}
 }
+
+// A file that is empty or cut short at any byte is turned down whole.
+func TestFileCutShort(t *testing.T) {
+	whole := testkit.Config("127.0.0.1:1", nil, testkit.Settings(nil), nil)
+	env := func(string) string { return "" }
+	if _, err := Parse(whole, env); err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(whole) {
+		if _, err := Parse(whole[:n], env); err == nil {
+			t.Errorf("cut off after %d of %d bytes: taken", n, len(whole))
+		}
+	}
+}
