--- a/cli/kill_test.go
+++ b/cli/kill_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -133,3 +137,71 @@
 		fmt.Sprintf("X-Deadline-Ms: %d", within.Milliseconds()), fmt.Sprintf("Content-Length: %d", len(body)), "", body,
 	}, "\r\n")
 }
+
+// Instances of the store are killed in the midst of writes, one after another and at last
+// all at once: what was acknowledged is there after each restart, and never goes back.
+func TestKillsDuringWrites(t *testing.T) {
+	const rounds = 4
+	d := testkit.NewDiscovery(t)
+	var peers []map[string]any
+	for i := range 3 {
+		host := fmt.Sprintf("127.79.%d.%d", 1+os.Getpid()%250, i+1)
+		peers = append(peers, map[string]any{"name": fmt.Sprintf("n%d", i+1), "raft": freePort(t, host), "flight": freePort(t, host)})
+	}
+	cfgs, all := make([][]byte, 3), make([]*process, 3)
+	for i := range all {
+		cfgs[i] = testkit.Config(d.Addr, nil, testkit.Settings(nil), map[string]any{"name": peers[i]["name"], "log_level": "info",
+			"flight": map[string]any{"listen": peers[i]["flight"]}, "store": map[string]any{"dir": t.TempDir(), "peers": peers}})
+		all[i], _ = serve(t, cfgs[i])
+	}
+	flight := func(i int) string { return peers[i]["flight"].(string) }
+	var acknowledged atomic.Int64 // the latest value that a write was told to have set
+	over := make(chan struct{})
+	var writer sync.WaitGroup
+	writer.Go(func() {
+		for value := int64(1); ; value++ {
+			select {
+			case <-over:
+				return
+			default:
+			}
+			if code, _, _ := run("config", "set", "--addr", flight(int(value)%3), fmt.Sprintf("max_open=%d", value)); code == 0 {
+				acknowledged.Store(value)
+			}
+		}
+	})
+	value := func(i int) int64 {
+		_, out, _ := run("config", "get", "--addr", flight(i))
+		var c struct {
+			MaxOpen int64 `json:"max_open"`
+		}
+		if json.Unmarshal([]byte(out), &c) != nil {
+			return -1
+		}
+		return c.MaxOpen
+	}
+	kill := func(i int) {
+		_ = all[i].cmd.Process.Kill()
+		_ = all[i].cmd.Wait() // killed: its status tells nothing
+	}
+	for round := range rounds {
+		before := acknowledged.Load()
+		testkit.Eventually(t, "writes go on", func() bool { return acknowledged.Load() >= before+5 })
+		kill(round % 3)
+		all[round%3], _ = serve(t, cfgs[round%3])
+		least := acknowledged.Load()
+		testkit.Eventually(t, "it has what was acknowledged", func() bool { return value(round%3) >= least })
+	}
+	for i := range all {
+		kill(i)
+	}
+	close(over)
+	writer.Wait()
+	for i := range all {
+		all[i], _ = serve(t, cfgs[i])
+	}
+	least := acknowledged.Load()
+	for i := range all {
+		testkit.Eventually(t, "all have what was acknowledged", func() bool { return value(i) >= least })
+	}
+}
