Add a failing test: a late end hits the connection that got the descriptor's number

The engine tells of a close from another goroutine after it has closed the descriptor; until then CloseWrite and the looks go to whoever has the number.

--- a/internal/netio/failures_test.go
+++ b/internal/netio/failures_test.go
@@ -212,3 +212,55 @@
 	}
 	loop.Stop()
 }
+
+// The engine closes a descriptor before it tells of it, and the system gives the number to
+// the next connection at once: what is done to the first just then must not be done to that.
+func TestClosedConnectionLeavesItsNumberBeforeItIsTold(t *testing.T) {
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	hits := 0
+	for range 20 {
+		old, e, peer := pair(t, loop, l)
+		number := old.nc.Hash()
+		gate, held := make(chan struct{}), make(chan struct{})
+		loop.engine.Async(func() { // the engine's words wait behind this one
+			close(held)
+			<-gate
+		})
+		<-held
+		_ = peer.Close()
+		testkit.Eventually(t, "the engine has closed it", func() bool { closed, _ := old.nc.IsClosed(); return closed })
+		next, heard, other := pair(t, loop, l)
+		if next.nc.Hash() == number {
+			hits++
+		}
+		if err := old.CloseWrite(); err == nil {
+			t.Error("the stream of a closed connection was ended")
+		}
+		if old.EndIfQuiet() || !old.HungUp() || !old.PeerGone() {
+			t.Error("a closed connection counts as open")
+		}
+		if _, err := next.Write([]byte("x")); err != nil {
+			t.Errorf("number %d: %v", number, err)
+		}
+		b := make([]byte, 1)
+		if err := other.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := other.Read(b); err != nil || b[0] != 'x' {
+			t.Errorf("number %d, then %d: got %q, %v", number, next.nc.Hash(), b, err)
+		}
+		close(gate)
+		<-e.closed
+		next.Close()
+		_ = other.Close()
+		<-heard.closed
+	}
+	if hits == 0 {
+		t.Log("no number came again: the test has shown nothing")
+	}
+}
