Use a descriptor under the engine's lock, so that no late end hits another connection

Cause: nbio marks a connection closed under its lock, closes the descriptor and runs OnClose from another goroutine; our mark came with that. Change: control holds the engine's lock and looks at its mark.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -301,19 +301,23 @@
 	}
 }
 
-// leave marks the connection as closed, once, before the engine closes its
-// descriptor: the next connection may get the same number.
+// leave marks the connection as closed, once. The next connection may have got its
+// descriptor's number already: see control.
 func (c *Conn) leave() bool {
 	c.using.Lock()
 	defer c.using.Unlock()
 	return !c.closed.Swap(true)
 }
 
-// control uses the descriptor where it still is the connection's own.
+// control uses the descriptor where it still is the connection's own. The engine marks a
+// connection as closed under its lock, closes the descriptor then, and tells of it later:
+// under that lock a connection that is not marked has its descriptor.
 func (c *Conn) control(f func(fd uintptr)) error {
 	c.using.Lock()
 	defer c.using.Unlock()
-	if c.closed.Load() {
+	c.nc.Lock()
+	defer c.nc.Unlock()
+	if closed, _ := c.nc.IsClosed(); closed || c.closed.Load() {
 		return net.ErrClosed
 	}
 	raw, err := c.nc.SyscallConn()
