Add a failing test: an event of a closed connection closes the one that got its number

The engine takes many events at once; a connection that another goroutine closes meanwhile leaves its number to a new one, for which the old event then counts.

--- a/internal/netio/failures_test.go
+++ b/internal/netio/failures_test.go
@@ -264,3 +264,66 @@
 		t.Log("no number came again: the test has shown nothing")
 	}
 }
+
+// step holds the engine's goroutine in each of its Datas until it is let go.
+type step struct {
+	ear
+	held, gate chan struct{}
+}
+
+func (s *step) Data([]byte) {
+	s.held <- struct{}{}
+	<-s.gate
+}
+
+// The engine takes many events from the system at once. A connection that is closed by us
+// while it is at work on them may leave its number to a new one, which must not be taken
+// for the first: the end of the first's other side is not the second's.
+func TestEventOfAClosedConnectionHitsNoOther(t *testing.T) {
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	first := &step{ear: *newEar(), held: make(chan struct{}), gate: make(chan struct{})}
+	_, firstPeer := pairOf(t, loop, l, first)
+	second := &step{ear: *newEar(), held: make(chan struct{}), gate: make(chan struct{})}
+	_, secondPeer := pairOf(t, loop, l, second)
+	for range 10 {
+		old, e, peer := pair(t, loop, l)
+		if _, err := io.WriteString(firstPeer, "x"); err != nil {
+			t.Fatal(err)
+		}
+		<-first.held // what comes now is taken together
+		if _, err := io.WriteString(secondPeer, "x"); err != nil {
+			t.Fatal(err)
+		}
+		_ = peer.Close()
+		testkit.Eventually(t, "its end is there", old.PeerGone)
+		first.gate <- struct{}{}
+		<-second.held // the end of old stands behind this
+		old.Close()
+		next, heard, other := pair(t, loop, l)
+		if _, err := io.WriteString(other, "request"); err != nil {
+			t.Fatal(err)
+		}
+		second.gate <- struct{}{}
+		if got := <-heard.got; got != "request" {
+			t.Errorf("got %q", got)
+		}
+		<-e.closed
+		if _, err := next.Write([]byte("answer")); err != nil {
+			t.Errorf("the next connection was closed: %v", err)
+		}
+		if err := other.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		answer := make([]byte, len("answer"))
+		if _, err := io.ReadFull(other, answer); err != nil {
+			t.Errorf("no answer: %v", err)
+		}
+		_ = other.Close()
+		<-heard.closed
+	}
+}
