Close connections in the engine's goroutine alone, so that no old event ends a new one

Cause: Close and a failed Write closed the descriptor in the caller's goroutine while the engine was at work on a batch of events. Change: Close shuts the socket down and the engine closes it, 1 s later at the latest; what leaves at once is written by ourselves, bytes beyond the bound end the connection the same way.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -44,6 +44,8 @@
 	// memory model does not know.
 	fence atomic.Int64
 
+	maxWrite int // bytes that may wait at one connection
+
 	taking sync.Mutex // held while a connection is taken over: one at a time, as with dials
 	// The engine's: it duplicates a connection and closes the original, and closes what it
 	// cannot add.
@@ -59,6 +61,7 @@
 	queued  atomic.Int64
 	written atomic.Int64
 	closed  atomic.Bool
+	closing atomic.Bool // we have closed it
 	adding  atomic.Bool // the engine is being given it
 	got     bool        // the latest read brought something; the engine's goroutine alone uses it
 	onFlush atomic.Pointer[func()]
@@ -77,6 +80,8 @@
 	// attachAgain: longer than attachWithin no client waits for it.
 	attachAgain  = 5 * time.Millisecond
 	attachWithin = 10 * time.Second
+	// closeWithin is how long the engine may take to see the end of a connection.
+	closeWithin = time.Second
 	// startWithin is how long a start may wait for the system.
 	startWithin = 3 * time.Second
 	// stopWithin is how long the engine may take to stop.
@@ -105,7 +110,7 @@
 
 func startLoop(maxWrite int) (*Loop, error) {
 	logging.SetLevel(logging.LevelNone) // the engine's own lines bypass our log
-	l := &Loop{hand: newHand()}
+	l := &Loop{hand: newHand(), maxWrite: maxWrite}
 	e := nbio.NewEngine(nbio.Config{
 		Name: "gannetchute", NPoller: 1, ReadBufferSize: readSize, MaxConnReadTimesPerEventLoop: readTimes,
 		MaxWriteBufferSize: maxWrite,
@@ -124,7 +129,7 @@
 		}
 	})
 	e.OnData(func(nc *nbio.Conn, b []byte) {
-		if c := l.conn(nc); c != nil && !c.closed.Load() {
+		if c := l.conn(nc); c != nil && !c.closed.Load() && !c.closing.Load() {
 			c.got = true
 			c.h.Data(b)
 		}
@@ -261,15 +266,51 @@
 
 // Write queues b, which it copies where it cannot leave at once, and returns
 // the position in the stream of its last byte. After an error the connection
-// is closed; Written tells what had left.
+// is closed; Written tells what had left. One goroutine may write at a time.
 func (c *Conn) Write(b []byte) (end int64, err error) {
 	end = c.queued.Add(int64(len(b)))
-	if _, err := c.nc.Write(b); err != nil {
+	left := b
+	if c.Backlog() == int64(len(b)) { // nothing waits: by ourselves, as the engine closes where a write fails
+		n, err := c.writeNow(b)
+		if err != nil {
+			c.Close()
+			return end, fmt.Errorf("writing %d bytes: %w", len(b), err)
+		}
+		if left = b[n:]; len(left) == 0 {
+			c.flushed()
+			return end, nil
+		}
+	}
+	if c.Backlog() > int64(c.l.maxWrite) {
+		c.Close()
+		return end, fmt.Errorf("writing %d bytes: %w", len(b), errBacklog)
+	}
+	if _, err := c.nc.Write(left); err != nil {
 		return end, fmt.Errorf("writing %d bytes: %w", len(b), err)
 	}
 	return end, nil
 }
 
+var errBacklog = errors.New("too many bytes wait to leave")
+
+// writeNow writes what the system takes at once.
+func (c *Conn) writeNow(b []byte) (n int, err error) {
+	unusable := c.control(func(fd uintptr) {
+		for {
+			n, err = syscall.Write(int(fd), b)
+			if !errors.Is(err, syscall.EINTR) {
+				break
+			}
+		}
+		n = max(n, 0)
+		c.written.Add(int64(n))
+	})
+	if errors.Is(err, syscall.EAGAIN) {
+		err = nil
+	}
+	return n, errors.Join(unusable, err)
+}
+
 // Written is how many bytes the kernel has taken: a frame whose last byte lies
 // beyond it cannot have been read by the other side.
 func (c *Conn) Written() int64 { return c.written.Load() }
@@ -277,8 +318,17 @@
 // Backlog is how many bytes wait to be written.
 func (c *Conn) Backlog() int64 { return c.queued.Load() - c.written.Load() }
 
-// Close closes the connection at once. The handler's Closed still comes.
-func (c *Conn) Close() { _ = c.nc.Close() }
+// Close ends the connection at once; nothing that comes is handed on any more, and the
+// handler's Closed still comes. The descriptor is closed by the engine's goroutine, when
+// it sees the end: closed by another one, its number could go to a new connection while an
+// event of this one is still to be looked at, and would end that one.
+func (c *Conn) Close() {
+	// It fails where the connection is broken already: then the engine sees that.
+	_ = c.control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	if !c.closing.Swap(true) {
+		time.AfterFunc(closeWithin, func() { _ = c.nc.Close() }) // the engine has, but for a system that does not tell
+	}
+}
 
 // AfterFlush calls f from the loop's hand once all that was queued has left.
 func (c *Conn) AfterFlush(f func()) {
@@ -296,7 +346,7 @@
 
 // part tells the handler of the other side's end, where a read brought nothing for it.
 func (c *Conn) part() {
-	if p, ok := c.h.(Parting); ok && !c.got && c.HungUp() && !c.closed.Load() {
+	if p, ok := c.h.(Parting); ok && !c.got && c.HungUp() && !c.closed.Load() && !c.closing.Load() {
 		p.PeerEnded()
 	}
 }
@@ -317,7 +367,7 @@
 	defer c.using.Unlock()
 	c.nc.Lock()
 	defer c.nc.Unlock()
-	if closed, _ := c.nc.IsClosed(); closed || c.closed.Load() {
+	if closed, _ := c.nc.IsClosed(); closed || c.closed.Load() || c.closing.Load() {
 		return net.ErrClosed
 	}
 	raw, err := c.nc.SyscallConn()
