Add a failing test: a close while the takeover still holds a second descriptor

While the second descriptor lives the system tells of the closed one's number, which the next connection has.

--- a/internal/netio/failures_test.go
+++ b/internal/netio/failures_test.go
@@ -327,3 +327,47 @@
 		<-heard.closed
 	}
 }
+
+// A connection whose other side has gone already is not closed by the engine while its
+// takeover still holds a second descriptor of it: the system would go on to tell of the
+// first one's number, and so of whoever gets it next.
+func TestNoCloseDuringATakeover(t *testing.T) {
+	loop, err := New(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	l := listen(t)
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = peer.Close()
+	add, added, gate := loop.add, make(chan *nbio.Conn), make(chan struct{})
+	loop.add = func(nc *nbio.Conn) error {
+		err := add(nc)
+		added <- nc
+		<-gate // the takeover is held up here, with both descriptors
+		return err
+	}
+	e := newEar()
+	over := make(chan error)
+	go func() {
+		_, err := loop.Attach(accepted, e, nil)
+		over <- err
+	}()
+	nc := <-added
+	time.Sleep(100 * time.Millisecond) // the engine has seen its end long since
+	if closed, _ := nc.IsClosed(); closed {
+		t.Error("closed while its takeover holds a second descriptor")
+	}
+	close(gate)
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+	<-e.closed
+}
