Let the engine come to no end of a connection while its takeover has a second descriptor

Change: Attach holds the lock that the engine takes before each read until that descriptor is closed.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -214,9 +214,9 @@
 	if err != nil {
 		return nil, conn, fmt.Errorf("taking over a connection: %w", err)
 	}
-	defer syscall.Close(spare)
 	nc, err := l.take(conn)
 	if err != nil {
+		_ = syscall.Close(spare)
 		return nil, conn, fmt.Errorf("taking over a connection: %w", err)
 	}
 	c = &Conn{l: l, nc: nc, h: h}
@@ -226,6 +226,12 @@
 		set(c)
 	}
 	l.fence.Add(1)
+	// While there is a second descriptor the system goes on to tell of the first, after its
+	// close too, and so of the connection that gets its number: the engine must not come to
+	// an end of this one before. It takes this lock before each read.
+	c.using.Lock()
+	defer c.using.Unlock()
+	defer syscall.Close(spare)
 	if err := l.add(nc); err != nil {
 		kept, lost := connOf(spare)
 		return c, kept, errors.Join(fmt.Errorf("adding a connection: %w", err), lost)
