Force the bound of a frame behind a full socket by a value of the test's own

Traced: beside six busy processes under the race detector writing 32 MB took longer than the 60 ms to the latest beginning, and the reader came before the timer; TestObserverHearsTheLastByte's reader came after the 0.1 s. Change: the bound is a field (0.1 s as before); the first test asks for the close by the bound and by the latest beginning alone, before anything is read.

--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -77,6 +77,7 @@
 	conns int
 	full  time.Time // when want of room was logged last
 	shut  bool
+	frame time.Duration // frameWithin; stuckFor is as much longer. A test may give it another value
 }
 
 type node struct {
@@ -105,7 +106,7 @@
 		o.Dialer = netio.NewDialer()
 	}
 	c := &Client{
-		opts: o, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{},
+		opts: o, frame: frameWithin, nodes: map[string]*node{}, where: map[broker.AttemptID]*call{},
 		paths: dial.New(o.Dialer, o.ConnectTimeout, o.MaxConns, o.Log),
 	}
 	c.ctx, c.end = context.WithCancel(context.Background())
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -247,18 +247,29 @@
 }
 
 // A frame that waits for a full socket does not leave once its part may not begin any
-// more, for its class's window say, or its node's drain: the node reads again just then.
+// more, for its class's window say, or its node's drain: the connection is closed by then,
+// and a node that reads again gets no more of it.
 func TestNoFrameLeavesPastItsLatestBeginning(t *testing.T) {
-	c, s, peer, _ := jammedNode(t)
-	big := attempt(2)
-	big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
-	big.Latest = time.Now().Add(60 * time.Millisecond)
-	c.send("n", big)
-	time.Sleep(time.Until(big.Latest.Add(20 * time.Millisecond)))
-	if got, err := io.CopyN(io.Discard, peer, int64(len(big.Text))); err == nil {
-		t.Errorf("the node got all %d bytes of a part past its time", got)
+	for _, within := range []time.Duration{frameWithin, time.Hour} { // by its own bound, by its latest beginning alone
+		c, s, peer, _ := jammedNode(t)
+		c.mu.Lock()
+		c.frame = within
+		c.mu.Unlock()
+		big := attempt(2)
+		big.Text = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
+		big.Latest = time.Now().Add(2 * time.Second)
+		if within == frameWithin {
+			big.Latest = time.Time{}
+		}
+		c.send("n", big)
+		s.wait(t, 2, decide.Unreachable)
+		if now := time.Now(); !big.Latest.IsZero() && now.Before(big.Latest) {
+			t.Errorf("given up %v before its time", big.Latest.Sub(now))
+		}
+		if got, err := io.CopyN(io.Discard, peer, int64(len(big.Text))); err == nil {
+			t.Errorf("the node got all %d bytes of a part past its time", got)
+		}
 	}
-	s.wait(t, 2, decide.Unreachable)
 }
 
 // A part whose frame waits for a full socket does not begin once it has been given up,
--- a/nodeclient/conn.go
+++ b/nodeclient/conn.go
@@ -213,7 +213,7 @@
 // watchFrame closes the connection where a frame that waits for a full socket has not left
 // whole when one of its parts may not begin any more, and after frameWithin.
 func (cn *conn) watchFrame(end int64, calls []broker.Attempt) {
-	until := cn.used.Add(frameWithin)
+	until := cn.used.Add(cn.c.frame)
 	for i := range calls {
 		if latest := calls[i].Latest; !latest.IsZero() && latest.Before(until) {
 			until = latest
@@ -467,7 +467,7 @@
 	idle := time.Duration(idleShare * float64(cn.c.opts.ConnIdle))
 	old := !cn.leads() || !cn.node.listed || idle > 0 && now.Sub(cn.used) > idle ||
 		len(cn.abandoned) >= maxAbandoned
-	if !cn.stuck.IsZero() && now.Sub(cn.stuck) > stuckFor || cn.idle() && old {
+	if !cn.stuck.IsZero() && now.Sub(cn.stuck) > cn.c.frame+stuckFor-frameWithin || cn.idle() && old {
 		cn.ours = true
 		cn.sock.Close()
 	}
--- a/nodeclient/observe_test.go
+++ b/nodeclient/observe_test.go
@@ -99,6 +99,9 @@
 		_, _ = io.Copy(io.Discard, nc) // until the client ends
 	}()
 	c.Update([]broker.Node{{ID: "n", Addr: l.Addr().String()}})
+	c.mu.Lock()
+	c.frame = time.Hour // the node reads again in time, however busy the machine is
+	c.mu.Unlock()
 	a := attempt(1)
 	a.Text = make([]byte, 6<<20) // more than the kernel takes while nobody reads
 	c.send("n", a)
