Take the soak's calls under their lock before the audit reads them

A node's part that comes when the last client has ended is appended by its goroutine while audit reads the same slice without the lock. Not the program: reader and writer are both the test's (soak_test.go audit and work).

--- a/cli/soak_test.go
+++ b/cli/soak_test.go
@@ -240,7 +240,6 @@
 		mu.Lock()
 		x, wait := rng.Float64(), time.Duration(rng.IntN(20))*time.Millisecond
 		mu.Unlock()
-		time.Sleep(wait)
 		end := testkit.Done
 		for i, way := range []string{testkit.Silent, testkit.Fail, testkit.Full, testkit.Break} {
 			if x < bad*float64(i+1) {
@@ -249,8 +248,9 @@
 			}
 		}
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.calls = append(s.calls, soakCall{call, n, end})
+		s.mu.Unlock()
+		time.Sleep(wait)
 		return end
 	}
 }
@@ -320,8 +320,11 @@
 
 // audit holds what happened against the protocol's rules.
 func (s *soak) audit(drained *testkit.Node, told, killed time.Time) {
+	s.mu.Lock() // a part may come to a node until the node is stopped, after the test
+	calls := slices.Clone(s.calls)
+	s.mu.Unlock()
 	requests, forwarded := map[string]*soakRequest{}, map[string]bool{}
-	for _, call := range s.calls {
+	for _, call := range calls {
 		name, _, _ := strings.Cut(call.ID, ".")
 		forwarded[name] = true
 	}
@@ -341,9 +344,9 @@
 			s.t.Errorf("%s: forwarded, and its connection ended with no answer, %v after SIGTERM: %v", r.id, r.sent.Sub(s.term), r.err)
 		}
 	}
-	slices.SortFunc(s.calls, func(a, b soakCall) int { return a.At.Compare(b.At) })
+	slices.SortFunc(calls, func(a, b soakCall) int { return a.At.Compare(b.At) })
 	ran, times := map[string]time.Time{}, map[string]int{} // ran: the first that may have
-	for _, call := range s.calls {
+	for _, call := range calls {
 		name, _, _ := strings.Cut(call.ID, ".")
 		r := requests[name]
 		if r == nil {
