--- a/cli/kill_test.go
+++ b/cli/kill_test.go
@@ -93,6 +93,8 @@
 	in *bufio.Reader
 }
 
+func newPeer(c net.Conn) *peer { return &peer{c, bufio.NewReader(c)} }
+
 func open(t *testing.T, addr string) *peer {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
@@ -100,7 +102,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	p := &peer{c, bufio.NewReader(c)}
+	p := newPeer(c)
 	p.send(t, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n") // so that it is a kept connection
 	p.answered(t, time.Now().Add(5*time.Second))
 	return p
--- a/cli/start_test.go
+++ b/cli/start_test.go
@@ -53,7 +53,7 @@
 
 // start runs the program as the deploy file does, at an address of the caller's, and
 // does not wait for it.
-func start(t *testing.T, cfg []byte, listen string) *process {
+func start(t *testing.T, cfg []byte, listen string, env ...string) *process {
 	t.Helper()
 	deploy, err := os.ReadFile("../deploy/balancer.toml")
 	if err != nil {
@@ -64,7 +64,7 @@
 	if !ok || !strings.Contains(line, "bin/gannetchute") {
 		t.Fatalf("no run line: %q", line)
 	}
-	return launch(t, exec.Command("/bin/sh", "-c", strings.ReplaceAll(line, "bin/gannetchute", program)), cfg, "NODE_LISTEN="+listen)
+	return launch(t, exec.Command("/bin/sh", "-c", strings.ReplaceAll(line, "bin/gannetchute", program)), cfg, append(env, "NODE_LISTEN="+listen)...)
 }
 
 // serves asks as a client does that comes again when it is told to: on a machine with
