Open the operators' port: ready, figures, drain and resume; share the address

The front sheds clients while an operator's drain lasts. Listeners have SO_REUSEPORT. Commands ready, metrics, drain, resume. TestListenThatFailsForAMoment moves with its code to netio and holds the shared listener too.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -57,25 +57,27 @@
 	start   time.Time // with the monotonic reading that all times are taken from
 	startMs float64
 
-	names   map[string]decide.Addr // node ids, interned
-	named   decide.Addr            // the latest of them
-	nodes   map[decide.Addr]*node
-	queries map[QueryID]*query
-	open    map[string]*query // by the client's id
-	byEvent map[uint64]*query // by the module's id
-	parts   map[uint64]*part
-	tries   map[AttemptID]*try
-	timers  timers
-	starts  startTimes
-	endBy   time.Time // when all that is open must have its answer; zero: each in its own time
-	lastID  uint64
-	lastTry AttemptID
-	number  float64
-	held    int // queries and parts
-	events  []decide.Event
-	actions []decide.Action
-	batch   []Attempt
-	stats   struct {
+	names    map[string]decide.Addr // node ids, interned
+	named    decide.Addr            // the latest of them
+	nodes    map[decide.Addr]*node
+	queries  map[QueryID]*query
+	open     map[string]*query // by the client's id
+	byEvent  map[uint64]*query // by the module's id
+	parts    map[uint64]*part
+	tries    map[AttemptID]*try
+	timers   timers
+	starts   startTimes
+	endBy    time.Time // when all that is open must have its answer; zero: each in its own time
+	lastID   uint64
+	lastTry  AttemptID
+	number   float64
+	held     int // queries and parts
+	events   []decide.Event
+	actions  []decide.Action
+	batch    []Attempt
+	classes  atomic.Pointer[[]*classCounters] // by the class's index
+	surveyed atomic.Pointer[Survey]           // the latest one
+	stats    struct {
 		queries, served, refused, failed, expired, left, attempts, turns, open atomic.Int64
 	}
 }
@@ -123,18 +125,23 @@
 		o.Limits.QueueLimit = 4096
 	}
 	now := time.Now()
-	return &Core{
+	c := &Core{
 		opts: o, root: decide.New(o.Settings, o.Seed), queue: newQueue(o.Limits.QueueLimit),
 		start: now, startMs: float64(now.UnixMicro()) / 1000, starts: startTimes{warmUp: duration(o.Settings.ColdMs)},
 		names: map[string]decide.Addr{}, nodes: map[decide.Addr]*node{},
 		queries: map[QueryID]*query{}, open: map[string]*query{}, byEvent: map[uint64]*query{}, parts: map[uint64]*part{}, tries: map[AttemptID]*try{},
 	}
+	c.growCounters(len(o.Settings.Classes))
+	return c
 }
 
 // Submit hands a query to the core. If it returns false, the core has not
 // taken the query, and the front refuses it; otherwise r gets one Reply.
 func (c *Core) Submit(q *Query, r Replier) (QueryID, bool) {
 	id, ok := c.queue.offer(input{kind: inQuery, query: q, replier: r})
+	if !ok {
+		c.counters(q.Class).count(Refused)
+	}
 	if !ok && c.opts.Observer != nil {
 		c.opts.Observer.TurnedAway(q, time.Now())
 	}
@@ -271,6 +278,8 @@
 			q.endBy(c.endBy)
 		}
 		heap.Push(&c.timers, timer{at: in.at, end: true})
+	case inSurvey:
+		in.survey <- c.survey()
 	case inLimits:
 		c.opts.Limits = in.limits
 		c.queue.setLimit(in.limits.QueueLimit)
@@ -660,6 +669,7 @@
 }
 
 func (c *Core) finish(q *query, r Reply, now time.Time) {
+	c.counters(q.Class).count(r.Verdict)
 	switch r.Verdict {
 	case Served:
 		c.stats.served.Add(1)
@@ -711,6 +721,7 @@
 func (c *Core) abandon() {
 	for _, in := range c.queue.close() {
 		if in.kind == inQuery {
+			c.counters(in.query.Class).count(Refused)
 			in.replier.Reply(in.id, Reply{Verdict: Refused})
 		}
 	}
--- a/broker/queue.go
+++ b/broker/queue.go
@@ -17,6 +17,7 @@
 	inRoster
 	inLimits
 	inEndBy
+	inSurvey
 )
 
 // input is one thing that reached the core from another goroutine.
@@ -33,7 +34,8 @@
 	took    time.Duration
 	roster  Roster
 	limits  Limits
-	at      time.Time // with inEndBy
+	at      time.Time     // with inEndBy
+	survey  chan<- Survey // with inSurvey; has room for the answer
 }
 
 // queue holds what waits for the next turn. Only queries can be refused: each
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -38,6 +38,7 @@
 	var path string
 	root.PersistentFlags().StringVar(&path, "config", "", "configuration file (default: the one NODE_CONFIG names)")
 	root.AddCommand(serveCmd(&path), versionCmd(), checkCmd(&path), configCmd(&path), statusCmd(&path), traceCmd(&path), addressesCmd(&path))
+	root.AddCommand(operatorCmds(&path)...)
 	return root
 }
 
@@ -70,6 +71,7 @@
 				}
 				next, err := config.Reload(*path, os.Getenv, cfg)
 				if err != nil {
+					d.TurnedDown()
 					log.Error().Str("event", "reload").Err(err).Msg("the configuration file cannot be used; the running one stands")
 					continue
 				}
--- a/config/config.go
+++ b/config/config.go
@@ -63,6 +63,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	// Console is where operators call, a host and port; empty: nowhere.
+	Console string
 	// FileDiscovery is the file's own word, which NODE_DISCOVERY may have
 	// overridden in Discovery.
 	FileDiscovery string
@@ -95,6 +97,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   json.RawMessage
 	Seed      json.RawMessage
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -153,7 +156,7 @@
 var passing = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EIO, syscall.EINTR, syscall.EAGAIN}
 
 // Load reads the file at path, or the one that NODE_CONFIG names when path is
-// empty. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override the file.
+// empty. NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_CONSOLE override the file.
 func Load(path string, getenv func(string) string) (*Config, error) {
 	if path == "" {
 		path = getenv("NODE_CONFIG")
@@ -195,6 +198,7 @@
 	a.MaxOpen, b.MaxOpen = 0, 0
 	note("name", old.Name, now.Name)
 	note("listen", old.Listen, now.Listen)
+	note("console", old.Console, now.Console)
 	note("limits.sockets", old.Limits.Sockets, now.Limits.Sockets)
 	note("settings", []any{a, old.Zones, old.Kinds, old.Classes, old.StreamsPerConn, old.ConnectTimeout, old.ConnIdle},
 		[]any{b, now.Zones, now.Kinds, now.Classes, now.StreamsPerConn, now.ConnectTimeout, now.ConnIdle})
@@ -230,6 +234,7 @@
 	}
 	c.Name, c.Listen, c.Discovery, c.LogLevel = f.Name, f.Listen, f.Discovery, f.LogLevel
 	c.Flight, c.Store = f.Flight, f.Store
+	c.console(f.Console, getenv("NODE_CONSOLE"))
 	if f.Tracing != nil {
 		t := f.Tracing.WithDefaults()
 		c.Tracing = &t
@@ -263,6 +268,26 @@
 	return c, c.check()
 }
 
+// console takes the operators' address, the environment's before the file's. One that
+// cannot be used stops no start: the clients need no operator.
+func (c *Config) console(told json.RawMessage, env string) {
+	addr := env
+	if addr == "" && len(told) > 0 && string(told) != "null" {
+		if json.Unmarshal(told, &addr) != nil {
+			c.Notes = append(c.Notes, Field{"console", fmt.Errorf("got %s, want host:port", told)})
+			return
+		}
+	}
+	if addr == "" {
+		return
+	}
+	if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+		c.Notes = append(c.Notes, Field{"console", fmt.Errorf("got %q, want host:port", addr)})
+		return
+	}
+	c.Console = addr
+}
+
 // decode reads the top level field by field.
 func (c *Config) decode(data []byte, f *file) error {
 	var all map[string]json.RawMessage
@@ -270,7 +295,7 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	platform := map[string]any{
-		"name": &f.Name, "listen": &f.Listen, "discovery": &f.Discovery, "seed": &f.Seed,
+		"name": &f.Name, "listen": &f.Listen, "discovery": &f.Discovery, "console": &f.Console, "seed": &f.Seed,
 		"limits": &f.Limits, "known": &f.Known, "settings": &f.Settings,
 	}
 	own := map[string]any{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"onyxsail/admin"
 	"onyxsail/broker"
 	"onyxsail/config"
 	"onyxsail/decide"
@@ -59,23 +60,25 @@
 
 // Daemon is one broker that runs.
 type Daemon struct {
-	cfg    *config.Config
-	log    zerolog.Logger
-	loop   *netio.Loop
-	core   *broker.Core
-	nodes  *nodeclient.Client
-	remote *flightnode.Client
-	front  *httpfront.Front
-	flight *flightfront.Front // nil: off
-	store  *store.Store       // nil: off
-	tracer *tracing.Tracer    // nil: off
-	level  *level
-	window atomic.Int64 // of the hand-over, in nanoseconds
-	seen   *roster
-	known  chan struct{}      // closed once a list with nodes is in hand
-	cancel context.CancelFunc // of the wait for a list
-	stop   context.CancelFunc // of the core
-	wg     sync.WaitGroup
+	cfg     *config.Config
+	log     zerolog.Logger
+	loop    *netio.Loop
+	core    *broker.Core
+	nodes   *nodeclient.Client
+	remote  *flightnode.Client
+	front   *httpfront.Front
+	flight  *flightfront.Front // nil: off
+	store   *store.Store       // nil: off
+	tracer  *tracing.Tracer    // nil: off
+	level   *level
+	window  atomic.Int64  // of the hand-over, in nanoseconds
+	admin   *admin.Server // nil: off
+	reloads reloads
+	seen    *roster
+	known   chan struct{}      // closed once a list with nodes is in hand
+	cancel  context.CancelFunc // of the wait for a list
+	stop    context.CancelFunc // of the core
+	wg      sync.WaitGroup
 
 	mu     sync.Mutex    // guards cfg, what follows, and limits that two sides set
 	over   bool          // Stop has begun
@@ -202,6 +205,9 @@
 			Actions: d.actions(), Trace: cfg.Tracing != nil,
 		})
 	}
+	if err == nil && cfg.Console != "" {
+		d.admin, err = admin.Listen(cfg.Console, d, log)
+	}
 	if err != nil {
 		d.abort()
 		return nil, err
@@ -286,6 +292,7 @@
 		d.log.Info().Str("event", "reload").Msg("not applied: the broker is stopping")
 		return
 	}
+	d.reloads.accepted.Add(1)
 	old := d.cfg
 	next := *old
 	next.Discovery, next.FileDiscovery = cfg.Discovery, cfg.FileDiscovery
@@ -399,6 +406,9 @@
 	d.nodes.Close()
 	d.remote.Close()
 	d.loop.Stop()
+	if d.admin != nil {
+		d.admin.Close()
+	}
 	if d.tracer != nil {
 		d.tracer.Close(ctx)
 	}
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -59,12 +59,13 @@
 	paths *dial.Paths // to nodes of several addresses
 	done  sync.WaitGroup
 
-	mu    sync.Mutex
-	nodes map[string]*node
-	calls map[broker.AttemptID]context.CancelFunc
-	conns int
-	full  time.Time // when want of room was logged last
-	shut  bool
+	mu      sync.Mutex
+	nodes   map[string]*node
+	calls   map[broker.AttemptID]context.CancelFunc
+	conns   int
+	full    time.Time // when want of room was logged last
+	shut    bool
+	relayed atomic.Int64 // attempts whose ticket has left
 }
 
 type node struct {
@@ -79,6 +80,9 @@
 	local    atomic.Bool            // its latest dial failed for want of something on this machine
 }
 
+// Relayed is how many attempts have been written whole to nodes.
+func (c *Client) Relayed() int64 { return c.relayed.Load() }
+
 // New returns a client; Close ends it.
 func New(o Options) *Client {
 	if o.ConnectTimeout <= 0 {
@@ -421,6 +425,7 @@
 		err = stream.CloseSend()
 	}
 	if err == nil {
+		c.relayed.Add(1)
 		tell(broker.WireGone, time.Now())
 	}
 	var values []broker.Value
--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -247,7 +247,7 @@
 		status, text := http.StatusOK, "ready"
 		if m.Method != http.MethodGet {
 			status, text = http.StatusMethodNotAllowed, "want GET"
-		} else if !c.f.ready.Load() || c.f.draining.Load() {
+		} else if !c.f.Ready() {
 			status, text = http.StatusServiceUnavailable, "not ready"
 		}
 		c.finish(s, func(last bool) []byte { return encode(nil, status, text, 0, last) })
@@ -299,7 +299,7 @@
 }
 
 func (c *conn) finish(s *slot, render func(last bool) []byte) {
-	ends := c.f.draining.Load() || c.f.crowded()
+	ends := c.f.sheds() || c.f.crowded()
 	ends = ends && s == c.slots[len(c.slots)-1] && c.parser.Buffered() == 0 && !c.sock.Unread(c.inData)
 	s.last = s.close || ends
 	s.done, s.out = true, render(s.last)
@@ -340,9 +340,9 @@
 }
 
 // endIfIdle ends a connection that carries no request, while draining. A
-// request that has begun may still become whole for a while; one that never
+// request that has begun may still become whole within mid; one that never
 // does must not keep the program from its end.
-func (c *conn) endIfIdle() {
+func (c *conn) endIfIdle(mid time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.place()
@@ -352,7 +352,7 @@
 		if c.spoke || time.Since(c.since) > youngest { // else its first request is on its way
 			c.rest()
 		}
-	case time.Since(c.since) > drainMid:
+	case time.Since(c.since) > mid:
 		c.reject(http.StatusRequestTimeout, "the request did not become whole")
 	}
 }
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -85,7 +85,8 @@
 	listener listener
 	slots    chan struct{} // one for each connection that may be open
 	ready    atomic.Bool
-	draining atomic.Bool
+	away     atomic.Bool   // an operator sends the clients away
+	draining atomic.Bool   // the front ends
 	closing  atomic.Bool   // the last connections are taken
 	taken    chan struct{} // closed once no more are
 	sweeping sync.WaitGroup
@@ -100,31 +101,11 @@
 
 // Listen opens the front's socket and begins to serve.
 func Listen(addr string, o Options) (*Front, error) {
-	l, err := openListener(addr)
+	l, err := netio.ListenShared(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
-	return serve(l.(*net.TCPListener), o), nil
-}
-
-// listen opens a socket; a test puts another in its place.
-var listen = net.Listen
-
-// A listener that the system can't open for a moment is tried again every listenAgain, for
-// listenWithin: a start has some seconds, and an address that is not there is told then.
-const (
-	listenAgain  = 20 * time.Millisecond
-	listenWithin = 3 * time.Second
-)
-
-func openListener(addr string) (net.Listener, error) {
-	for began := time.Now(); ; time.Sleep(listenAgain) {
-		l, err := listen("tcp", addr)
-		passes := netio.LocalFailure(err) || errors.Is(err, syscall.EADDRNOTAVAIL)
-		if err == nil || !passes || time.Since(began) > listenWithin {
-			return l, err
-		}
-	}
+	return serve(l, o), nil
 }
 
 // listener is a socket whose accepts may be given a deadline.
@@ -151,6 +132,16 @@
 // SetReady makes GET /ready answer 200, until the front drains.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
+// Ready says whether GET /ready answers 200.
+func (f *Front) Ready() bool { return f.ready.Load() && !f.sheds() }
+
+// SendAway begins an operator's drain, or ends it: meanwhile /ready says no, answers ask
+// for the connection's end, and connections that rest are ended. New ones are taken.
+func (f *Front) SendAway(away bool) { f.away.Store(away) }
+
+// sheds says whether clients are to go elsewhere.
+func (f *Front) sheds() bool { return f.away.Load() || f.draining.Load() }
+
 func (f *Front) accept() {
 	defer close(f.taken)
 	for {
@@ -333,6 +324,11 @@
 	for _, c := range f.overdue() {
 		c.over(reading)
 	}
+	if f.away.Load() && !f.draining.Load() {
+		for _, c := range f.list() {
+			c.endIfIdle(wholeWithin)
+		}
+	}
 }
 
 // overdue returns the connections whose request should have become whole by now.
@@ -385,7 +381,7 @@
 			break
 		}
 		for _, c := range open {
-			c.endIfIdle()
+			c.endIfIdle(drainMid)
 		}
 		f.sweepOnce()
 		sleep(ctx, 10*time.Millisecond)
--- a/httpfront/terms_test.go
+++ b/httpfront/terms_test.go
@@ -155,31 +155,6 @@
 	}
 }
 
-// A socket, bind or listen that fails for a moment ends no start; an address that is taken
-// does, at once.
-func TestListenThatFailsForAMoment(t *testing.T) {
-	whole := listen
-	t.Cleanup(func() { listen = whole })
-	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
-		tries := 0
-		listen = func(network, addr string) (net.Listener, error) {
-			if tries++; tries < 4 {
-				return nil, &net.OpError{Op: "listen", Net: network, Err: errno}
-			}
-			return whole(network, addr)
-		}
-		l, err := openListener("127.0.0.1:0")
-		if err != nil {
-			t.Errorf("%v: %v after %d tries", errno, err, tries)
-			continue
-		}
-		if _, err := openListener(l.Addr().String()); !errors.Is(err, syscall.EADDRINUSE) {
-			t.Errorf("an address that is taken: %v", err)
-		}
-		_ = l.Close()
-	}
-}
-
 // A connection may wait for its turn to be accepted, with a request: its client's time runs
 // meanwhile, and what the nodes are told must not go beyond it.
 func TestTimeBeforeTheAcceptIsCounted(t *testing.T) {
--- /dev/null
+++ b/internal/netio/listen_test.go
@@ -0,0 +1,49 @@
+package netio
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+)
+
+// A socket, bind or listen that fails for a moment ends no start; an address that is taken
+// does, at once.
+func TestListenThatFailsForAMoment(t *testing.T) {
+	whole := openListener
+	t.Cleanup(func() { openListener = whole })
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		tries := 0
+		openListener = func(config net.ListenConfig, addr string) (net.Listener, error) {
+			if tries++; tries < 4 {
+				return nil, &net.OpError{Op: "listen", Net: "tcp", Err: errno}
+			}
+			return whole(config, addr)
+		}
+		l, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Errorf("%v: %v after %d tries", errno, err, tries)
+			continue
+		}
+		for name, open := range map[string]func(string) (*net.TCPListener, error){"alone": Listen, "shared": ListenShared} {
+			if _, err := open(l.Addr().String()); !errors.Is(err, syscall.EADDRINUSE) {
+				t.Errorf("an address that is taken, %s: %v", name, err)
+			}
+		}
+		_ = l.Close()
+	}
+}
+
+// Two listeners share an address where both ask for it.
+func TestListenShared(t *testing.T) {
+	first, err := ListenShared("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second, err := ListenShared(first.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+}
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -71,13 +72,14 @@
 	end   context.CancelFunc
 	done  sync.WaitGroup
 
-	mu    sync.Mutex
-	nodes map[string]*node
-	where map[broker.AttemptID]*call
-	conns int
-	full  time.Time // when want of room was logged last
-	shut  bool
-	frame time.Duration // frameWithin; stuckFor is as much longer. A test may give it another value
+	mu      sync.Mutex
+	nodes   map[string]*node
+	where   map[broker.AttemptID]*call
+	conns   int
+	full    time.Time // when want of room was logged last
+	shut    bool
+	relayed atomic.Int64  // attempts whose last byte has left
+	frame   time.Duration // frameWithin; stuckFor is as much longer. A test may give it another value
 }
 
 type node struct {
@@ -279,6 +281,9 @@
 	return cn
 }
 
+// Relayed is how many attempts have been written whole to nodes.
+func (c *Client) Relayed() int64 { return c.relayed.Load() }
+
 // Cancel implements broker.NodeClient.
 func (c *Client) Cancel(_ string, id broker.AttemptID) {
 	c.mu.Lock()
@@ -289,6 +294,9 @@
 	}
 	cn := cl.on
 	delete(c.where, id)
+	if cn.sock != nil {
+		cn.left(cl, time.Now())
+	}
 	delete(cn.calls, cl.id)
 	if cl.mate != nil && len(cl.mate) > 1 { // the call's other parts still wait for the connection
 		for i := range cl.mate {
--- a/nodeclient/conn.go
+++ b/nodeclient/conn.go
@@ -45,7 +45,7 @@
 	end   int64     // position of its frame's last byte, 0 before it is queued
 	since time.Time // when the core sent it
 	moves int       // addresses that it was sent to before, with nothing left for them
-	gone  bool      // the observer knows that the last byte has left
+	gone  bool      // its last byte has left, and that is counted
 	mate  []broker.Attempt
 }
 
@@ -184,13 +184,11 @@
 	cn.used = now
 	frame := appendCall(nil, out)
 	end, err := cn.sock.Write(frame)
-	gone := cn.c.opts.Observer != nil && end <= cn.sock.Written()
+	gone := end <= cn.sock.Written()
 	for i := range out {
 		if cl := cn.calls[partID(&out[i])]; cl != nil {
 			cl.first, cl.end, cl.mate, cl.sent = end-int64(len(frame)), end, nil, cn.used
-			if cl.gone = gone; gone {
-				cn.c.opts.Observer.Wire(cl.ID, broker.WireGone, cn.addr, cn.used)
-			}
+			cn.left(cl, cn.used)
 		}
 	}
 	if cn.waiting.IsZero() {
@@ -201,11 +199,13 @@
 	}
 	if err != nil {
 		cn.sock.Close()
-	} else if cn.c.opts.Observer != nil && !gone {
+	} else if !gone {
 		cn.sock.AfterFlush(func() {
 			cn.c.mu.Lock()
 			defer cn.c.mu.Unlock()
-			cn.tellGone(time.Now())
+			for _, cl := range cn.calls {
+				cn.left(cl, time.Now())
+			}
 		})
 	}
 }
@@ -232,14 +232,16 @@
 	})
 }
 
-// tellGone tells the observer whose last byte has left; c.mu is held.
-func (cn *conn) tellGone(now time.Time) {
-	written := cn.sock.Written()
-	for _, cl := range cn.calls {
-		if !cl.gone && cl.end > 0 && cl.end <= written {
-			cl.gone = true
-			cn.c.opts.Observer.Wire(cl.ID, broker.WireGone, cn.addr, now)
-		}
+// left counts an attempt whose last byte has left, once, and tells the observer; c.mu is
+// held.
+func (cn *conn) left(cl *call, now time.Time) {
+	if cl.gone || cl.end == 0 || cl.end > cn.sock.Written() {
+		return
+	}
+	cl.gone = true
+	cn.c.relayed.Add(1)
+	if cn.c.opts.Observer != nil {
+		cn.c.opts.Observer.Wire(cl.ID, broker.WireGone, cn.addr, now)
 	}
 }
 
@@ -331,6 +333,7 @@
 		if cl.end == 0 || cl.end > written {
 			continue // never whole at the node: Closed tells it so
 		}
+		cn.left(cl, time.Now())
 		delete(cn.calls, id)
 		delete(cn.c.where, cl.ID)
 		cn.c.opts.Sink.Outcome(cl.ID, outcome, broker.Answer{})
@@ -357,6 +360,7 @@
 			}
 			return nil // it was given up, or is a copy of the latest answer
 		}
+		cn.left(cl, cn.heard)
 		delete(cn.calls, r.id)
 		delete(cn.c.where, cl.ID)
 		if took := cn.heard.Sub(cl.sent); cn.node.usual == 0 {
@@ -420,6 +424,9 @@
 		cn.c.paths.Reset(cn.node.id, cn.addr, time.Now())
 	}
 	for _, cl := range cn.calls {
+		if cn.sock != nil {
+			cn.left(cl, time.Now())
+		}
 		delete(cn.c.where, cl.ID)
 		r := reach.Rule(reach.Cut(cl.first, cl.end, written))
 		if r.Elsewhere && cn.sock != nil && cn.move(cl) {
