Take settings at SIGHUP: classes come and go, attempts drop, faulty files go down

Change: config.Reload turns a file down whole that lacks a key which the one in use has, or whose deadlines or attempts are not numbers above 0; classes keep their index by name and description, so that one that comes back stricter is another one. The core and the module take further classes between two turns (decide.Root.Reconfigure), the fronts swap their tables; a request keeps the classes under which it began.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -169,6 +169,14 @@
 // answer, though its client would wait longer: the process may be killed then.
 func (c *Core) EndBy(at time.Time) { c.queue.put(input{kind: inEndBy, at: at}) }
 
+// Reconfigure takes further classes and another limit of attempts into use: for what is
+// submitted once it has returned, and the limit for what is under way too. Classes keep
+// their places: all begins with those that the core has, unchanged. One caller at a time.
+func (c *Core) Reconfigure(all []decide.Class, maxAttempts int) {
+	c.growCounters(len(all))
+	c.queue.put(input{kind: inReconfigure, classes: all, attempts: maxAttempts})
+}
+
 // SetLimits changes the limits at the next turn's boundary.
 func (c *Core) SetLimits(l Limits) { c.queue.put(input{kind: inLimits, limits: l}) }
 
@@ -278,6 +286,9 @@
 			q.endBy(c.endBy)
 		}
 		heap.Push(&c.timers, timer{at: in.at, end: true})
+	case inReconfigure:
+		c.opts.Settings.Classes, c.opts.Settings.MaxAttempts = in.classes, in.attempts
+		c.root.Reconfigure(in.classes, in.attempts)
 	case inSurvey:
 		in.survey <- c.survey()
 	case inLimits:
--- a/broker/queue.go
+++ b/broker/queue.go
@@ -18,24 +18,27 @@
 	inLimits
 	inEndBy
 	inSurvey
+	inReconfigure
 )
 
 // input is one thing that reached the core from another goroutine.
 type input struct {
-	kind    inputKind
-	query   *Query
-	replier Replier
-	id      QueryID
-	attempt AttemptID
-	outcome decide.Outcome
-	ours    bool // with inOutcome: the core made it up itself
-	answer  Answer
-	node    string
-	took    time.Duration
-	roster  Roster
-	limits  Limits
-	at      time.Time     // with inEndBy
-	survey  chan<- Survey // with inSurvey; has room for the answer
+	kind     inputKind
+	query    *Query
+	replier  Replier
+	id       QueryID
+	attempt  AttemptID
+	outcome  decide.Outcome
+	ours     bool // with inOutcome: the core made it up itself
+	answer   Answer
+	node     string
+	took     time.Duration
+	roster   Roster
+	limits   Limits
+	at       time.Time      // with inEndBy
+	classes  []decide.Class // with inReconfigure
+	attempts int            // the same
+	survey   chan<- Survey  // with inSurvey; has room for the answer
 }
 
 // queue holds what waits for the next turn. Only queries can be refused: each
--- a/config/config.go
+++ b/config/config.go
@@ -56,6 +56,9 @@
 type Class struct {
 	Name  string
 	Keyed bool
+	// Retired is one that a reload has left out: no new query may name it.
+	Retired  bool
+	settings decide.Class
 }
 
 // Config is all that the daemon is told, decoded once.
@@ -89,6 +92,9 @@
 	// Notes are what the file holds and this broker passes over: fields that it
 	// does not know, and a list in known that cannot be read.
 	Notes []Field
+
+	tree essential       // what a reload checks as it is written
+	keys map[string]bool // of the file, by path
 }
 
 // file is what the platform's file says, in the platform's words. It may say
@@ -171,20 +177,6 @@
 	return Parse(data, getenv)
 }
 
-// Reload reads the file anew for a broker that runs with old. A discovery that
-// the file did not name before wins over NODE_DISCOVERY: the environment is
-// that of the start and can't tell of a move. An unchanged one moves nothing.
-func Reload(path string, getenv func(string) string, old *Config) (*Config, error) {
-	c, err := Load(path, getenv)
-	if err != nil {
-		return nil, err
-	}
-	if c.Discovery = old.Discovery; c.FileDiscovery != old.FileDiscovery {
-		c.Discovery = c.FileDiscovery
-	}
-	return c, c.check()
-}
-
 // NeedRestart names the fields in which the two differ and that a broker takes
 // from its start alone.
 func NeedRestart(old, now *Config) []string {
@@ -196,12 +188,14 @@
 	}
 	a, b := old.Settings, now.Settings
 	a.MaxOpen, b.MaxOpen = 0, 0
+	a.MaxAttempts, b.MaxAttempts = 0, 0
+	a.Classes, b.Classes = nil, nil
 	note("name", old.Name, now.Name)
 	note("listen", old.Listen, now.Listen)
 	note("console", old.Console, now.Console)
 	note("limits.sockets", old.Limits.Sockets, now.Limits.Sockets)
-	note("settings", []any{a, old.Zones, old.Kinds, old.Classes, old.StreamsPerConn, old.ConnectTimeout, old.ConnIdle},
-		[]any{b, now.Zones, now.Kinds, now.Classes, now.StreamsPerConn, now.ConnectTimeout, now.ConnIdle})
+	note("settings", []any{a, old.Zones, old.Kinds, old.StreamsPerConn, old.ConnectTimeout, old.ConnIdle},
+		[]any{b, now.Zones, now.Kinds, now.StreamsPerConn, now.ConnectTimeout, now.ConnIdle})
 	note("flight", old.Flight, now.Flight)
 	note("store", old.Store, now.Store)
 	note("tracing", old.Tracing, now.Tracing)
@@ -226,6 +220,9 @@
 	if err := c.decode(data, &f); err != nil {
 		return nil, err
 	}
+	if err := c.remember(data); err != nil {
+		return nil, err
+	}
 	c.FileDiscovery = f.Discovery
 	for name, field := range map[string]*string{"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery} {
 		if v := getenv(name); v != "" {
@@ -388,7 +385,7 @@
 		if name == "" {
 			return wrong(fmt.Sprintf("settings.classes[%d].name", i), "missing")
 		}
-		c.Classes = append(c.Classes, Class{Name: name, Keyed: s.Classes[i].Effect == decide.Keyed})
+		c.Classes = append(c.Classes, classOf(name, s.Classes[i]))
 	}
 	if len(c.Classes) == 0 {
 		return wrong("settings.classes", "missing")
--- /dev/null
+++ b/config/reload.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"onyxsail/decide"
+)
+
+// maxClasses bounds the classes that a broker has met since its start, those that have
+// vanished among them.
+const maxClasses = 1024
+
+// Reload reads the file anew for a broker that runs with old. A discovery that
+// the file did not name before wins over NODE_DISCOVERY: the environment is
+// that of the start and can't tell of a move. An unchanged one moves nothing.
+//
+// The file is turned down whole where it lacks a key that the one in use has, or where a
+// deadline or the number of attempts is not a number above 0. In the result the classes
+// keep the indexes that they have in old; those that the file leaves out are retired.
+func Reload(path string, getenv func(string) string, old *Config) (*Config, error) {
+	c, err := Load(path, getenv)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.complete(old); err != nil {
+		return nil, err
+	}
+	if c.Discovery = old.Discovery; c.FileDiscovery != old.FileDiscovery {
+		c.Discovery = c.FileDiscovery
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return c, c.followOn(old)
+}
+
+// complete says what the file lacks that the one in use has, and which of its figures is
+// none that a query could run under.
+func (c *Config) complete(old *Config) error {
+	for _, path := range slices.Sorted(maps.Keys(old.keys)) {
+		if !c.keys[path] {
+			return wrong(path, "missing, and the file in use has it")
+		}
+	}
+	for i, class := range c.tree.Settings.Classes {
+		if err := aboveZero(fmt.Sprintf("settings.classes[%d].deadlineMs", i), class.DeadlineMs); err != nil {
+			return err
+		}
+	}
+	return aboveZero("settings.caps.maxAttempts", c.tree.Settings.Caps.MaxAttempts)
+}
+
+// aboveZero checks that a value is a number above 0: a text that looks like one is none.
+func aboveZero(path string, value json.RawMessage) error {
+	var n float64
+	if err := json.Unmarshal(value, &n); err != nil || !(n > 0) || math.IsInf(n, 0) || string(value) == "null" {
+		return wrong(path, "got %s, want a number above 0", value)
+	}
+	return nil
+}
+
+// essential are the settings that a reload looks at as they are written.
+type essential struct {
+	Settings struct {
+		Classes []struct {
+			DeadlineMs json.RawMessage `json:"deadlineMs"`
+		} `json:"classes"`
+		Caps struct {
+			MaxAttempts json.RawMessage `json:"maxAttempts"`
+		} `json:"caps"`
+	} `json:"settings"`
+}
+
+// remember keeps what a later reload compares with.
+func (c *Config) remember(data []byte) error {
+	if err := json.Unmarshal(data, &c.tree); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	var all map[string]any
+	if err := d.Decode(&all); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	for name := range all {
+		if !platformFields[name] {
+			delete(all, name) // the operator's own, which may go at any time
+		}
+	}
+	if _, listed := all["known"]; listed {
+		all["known"] = nil // the list is read by itself
+	}
+	c.keys = map[string]bool{}
+	for _, path := range keysOf("", all) {
+		c.keys[path] = true
+	}
+	return nil
+}
+
+// platformFields are the platform's fields of the file's top level.
+var platformFields = map[string]bool{
+	"name": true, "listen": true, "discovery": true, "console": true, "seed": true, "limits": true, "known": true, "settings": true,
+}
+
+// keysOf returns the paths of all keys below a value. Of a list's items, which "[]" stands
+// for, these are the keys that each of them has.
+func keysOf(at string, value any) (all []string) {
+	switch value := value.(type) {
+	case map[string]any:
+		for key, below := range value {
+			path := key
+			if at != "" {
+				path = at + "." + key
+			}
+			all = append(append(all, path), keysOf(path, below)...)
+		}
+	case []any:
+		for i, item := range value {
+			keys := keysOf(at+"[]", item)
+			if i == 0 {
+				all = keys
+				continue
+			}
+			all = slices.DeleteFunc(all, func(key string) bool { return !slices.Contains(keys, key) })
+		}
+	}
+	return all
+}
+
+// followOn gives the classes the indexes that a broker which runs with old has for them.
+// One that is described anew is another class of the same name: what is under way keeps
+// the one that it came under.
+func (c *Config) followOn(old *Config) error {
+	settings, classes := slices.Clone(old.Settings.Classes), slices.Clone(old.Classes)
+	for i := range classes {
+		classes[i].Retired = true
+	}
+	for i, class := range c.Classes {
+		own := c.Settings.Classes[i]
+		at := slices.IndexFunc(classes, func(known Class) bool { return known.Name == class.Name && known.settings == own })
+		if at < 0 {
+			at = len(classes)
+			classes, settings = append(classes, class), append(settings, own)
+		}
+		classes[at].Retired = false
+	}
+	if len(classes) > maxClasses {
+		return &Field{"settings.classes", errors.New("too many different ones since the start: the broker must be replaced")}
+	}
+	c.Classes, c.Settings.Classes = classes, settings
+	return nil
+}
+
+// classOf makes a class of its name and settings.
+func classOf(name string, settings decide.Class) Class {
+	return Class{Name: name, Keyed: settings.Effect == decide.Keyed, settings: settings}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -299,7 +299,10 @@
 	next.LogLevel, next.HandOver = cfg.LogLevel, cfg.HandOver
 	next.Limits.Cores, next.Limits.MemoryMB = cfg.Limits.Cores, cfg.Limits.MemoryMB
 	next.Settings.MaxOpen = cfg.Settings.MaxOpen
+	next.Settings.MaxAttempts = cfg.Settings.MaxAttempts
+	next.Settings.Classes, next.Classes = cfg.Settings.Classes, cfg.Classes
 	d.cfg = &next
+	d.reclassify()
 	if next.LogLevel != old.LogLevel {
 		d.level.set(next.LogLevel)
 	}
@@ -318,6 +321,17 @@
 		Strs("need_restart", config.NeedRestart(old, cfg)).Msg("the configuration file was read again")
 }
 
+// reclassify takes the classes and the attempts allowed of d.cfg into use. The core has
+// them before a front names them. d.mu is held.
+func (d *Daemon) reclassify() {
+	d.core.Reconfigure(d.cfg.Settings.Classes, d.cfg.Settings.MaxAttempts)
+	byName := classes(d.cfg)
+	d.front.SetClasses(byName)
+	if d.flight != nil {
+		d.flight.SetClasses(byName)
+	}
+}
+
 // abort undoes a start that failed half way.
 func (d *Daemon) abort() {
 	if d.store != nil {
@@ -339,6 +353,9 @@
 func classes(cfg *config.Config) map[string]query.Class {
 	m := make(map[string]query.Class, len(cfg.Classes))
 	for i, c := range cfg.Classes {
+		if c.Retired {
+			continue
+		}
 		m[c.Name] = query.Class{Name: c.Name, Index: i, Keyed: c.Keyed, DeadlineMs: cfg.Settings.Classes[i].DeadlineMs}
 	}
 	return m
@@ -373,7 +390,10 @@
 // open: the platform may kill it soon after.
 func (d *Daemon) answerWithin() time.Duration {
 	longest := time.Duration(0)
-	for _, class := range d.cfg.Settings.Classes {
+	for i, class := range d.cfg.Settings.Classes {
+		if d.cfg.Classes[i].Retired {
+			continue
+		}
 		deadline := time.Duration(class.DeadlineMs * float64(time.Millisecond))
 		longest = max(longest, cmp.Or(deadline, longestCounted)) // without one clients may wait for any time
 	}
--- a/daemon/figures.go
+++ b/daemon/figures.go
@@ -49,11 +49,12 @@
 
 // byClass adds up the counts of the classes by name, in the order of their first index.
 func (d *Daemon) byClass() (all []namedCounts) {
+	byIndex := d.core.Classes()
 	d.mu.Lock()
-	classes := d.cfg.Classes
+	classes := d.cfg.Classes // all that the core has, as a reload puts them here first
 	d.mu.Unlock()
 	at := make(map[string]int, len(classes))
-	for i, counts := range d.core.Classes() {
+	for i, counts := range byIndex {
 		name := classes[i].Name
 		k, known := at[name]
 		if !known {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -181,8 +181,7 @@
 		askGap: askFirstMs, askAt: math.Inf(-1), sweepAt: math.Inf(-1),
 	}
 	for _, c := range s.Classes {
-		r.aim = min(cmp.Or(r.aim, c.AimMs), max(1, c.AimMs))
-		r.classes = append(r.classes, class{Class: c, p: pMax, slip: 1})
+		r.addClass(c)
 	}
 	if !s.HasBudget {
 		r.s.ExtraFloor, r.s.ExtraShare, r.s.ExtraSpanMs = ownFloor, ownShare, ownSpanMs
@@ -190,6 +189,11 @@
 	return r
 }
 
+func (r *Root) addClass(c Class) {
+	r.aim = min(cmp.Or(r.aim, c.AimMs), max(1, c.AimMs))
+	r.classes = append(r.classes, class{Class: c, p: pMax, slip: 1})
+}
+
 // Step applies all events of one turn, as answers that land together must all be known, then decides.
 func (r *Root) Step(now float64, events []Event, out []Action) []Action {
 	r.out, r.turn, r.now, r.stalled, r.born = out, r.turn+1, now, 0, cmp.Or(r.born, now)
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -6,3 +6,16 @@
 	h := r.replicas[addr]
 	return h != nil && r.doubted(h)
 }
+
+// Reconfigure takes further classes and another limit of attempts into use, between two
+// steps. Classes keep their places: all begins with those that the root has, unchanged. The
+// limit holds for the parts under way too; 0 is none.
+func (r *Root) Reconfigure(all []Class, maxAttempts int) {
+	for _, c := range all[min(len(r.classes), len(all)):] {
+		r.addClass(c)
+	}
+	for _, h := range r.replicas {
+		h.shunned = append(h.shunned, make([]float64, len(r.classes)-len(h.shunned))...)
+	}
+	r.s.MaxAttempts = maxAttempts
+}
--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
@@ -28,6 +29,7 @@
 
 	"onyxsail/broker"
 	"onyxsail/internal/flightwire"
+	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
 	"onyxsail/internal/tracecontext"
 )
@@ -59,7 +61,7 @@
 // Options make a Front.
 type Options struct {
 	Core     Core
-	Classes  map[string]query.Class
+	Classes  map[string]query.Class // at the start
 	Shards   int
 	MaxConns int
 	Actions  []Action
@@ -71,6 +73,7 @@
 type Front struct {
 	flight.BaseFlightServer
 	opts     Options
+	classes  atomic.Pointer[map[string]query.Class]
 	server   *grpc.Server
 	listener net.Listener
 	done     sync.WaitGroup
@@ -78,11 +81,12 @@
 
 // Listen opens the front's socket and begins to serve.
 func Listen(addr string, o Options) (*Front, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := netio.ListenShared(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening for Flight clients: %w", err)
 	}
 	f := &Front{opts: o, listener: l}
+	f.SetClasses(o.Classes)
 	f.server = grpc.NewServer(
 		grpc.ConnectionTimeout(greetIn), grpc.MaxHeaderListSize(maxHeaders),
 		grpc.MaxRecvMsgSize(maxTicket+(4<<10)), grpc.MaxConcurrentStreams(maxStreams),
@@ -118,6 +122,10 @@
 	f.done.Wait()
 }
 
+// SetClasses puts other classes in the place of those in use, for queries that come from
+// now on.
+func (f *Front) SetClasses(byName map[string]query.Class) { f.classes.Store(&byName) }
+
 // waiter takes the answer of one query. The channel has room for it, so the
 // core never waits for a client.
 type waiter chan broker.Reply
@@ -135,7 +143,7 @@
 	if err := json.Unmarshal(ticket, &t); err != nil {
 		return nil, status.Errorf(codes.InvalidArgument, "ticket: %v", err)
 	}
-	class, ok := f.opts.Classes[t.Class]
+	class, ok := (*f.classes.Load())[t.Class]
 	if !ok {
 		return nil, status.Errorf(codes.NotFound, "class: no class %q", t.Class)
 	}
--- a/flightfront/front_test.go
+++ b/flightfront/front_test.go
@@ -213,7 +213,8 @@
 // A client that cancels while its call waits for us has nothing done for it.
 func TestClientLeavesBeforeItsQueryIsTaken(t *testing.T) {
 	core := &fakeCore{}
-	f := &Front{opts: Options{Core: core, Shards: 18, Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}}}}
+	f := &Front{opts: Options{Core: core, Shards: 18}}
+	f.SetClasses(map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	ticket := []byte(`{"id":"q","class":"screen","targets":[{"partition":1,"share":1}],"query":"x"}`)
--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -43,6 +43,7 @@
 
 type slot struct {
 	id    broker.QueryID
+	began time.Time      // when its first bytes came
 	came  time.Time      // when it was whole: its time runs from then
 	waits *http1.Message // not begun yet
 	out   []byte
@@ -123,8 +124,8 @@
 		case len(c.slots) >= maxAhead || c.ahead+len(m.Body) > maxAheadSize:
 			c.reject(http.StatusTooManyRequests, "too many requests were sent ahead")
 		default:
+			s := &slot{close: m.Close, began: c.since, came: c.heard}
 			c.since, c.whole = time.Now(), true // what is buffered behind it begins anew
-			s := &slot{close: m.Close, came: c.heard}
 			c.slots = append(c.slots, s)
 			c.ending = m.Close
 			if len(c.slots) > maxPipelined {
@@ -253,7 +254,7 @@
 		c.finish(s, func(last bool) []byte { return encode(nil, status, text, 0, last) })
 		return
 	}
-	q, err := decode(m, c.f.opts.Classes, c.f.opts.Shards, s.came)
+	q, err := decode(m, c.f.classesAt(s.began), c.f.opts.Shards, s.came)
 	if err != nil {
 		status := http.StatusBadRequest
 		if f := (*fault)(nil); errors.As(err, &f) {
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -72,8 +72,8 @@
 type Options struct {
 	Core     Core
 	Loop     *netio.Loop
-	Classes  map[string]query.Class
-	Shards   int // 0: unknown
+	Classes  map[string]query.Class // at the start
+	Shards   int                    // 0: unknown
 	MaxConns int
 	Trace    bool // read the clients' trace contexts
 	Log      zerolog.Logger
@@ -84,6 +84,7 @@
 	opts     Options
 	listener listener
 	slots    chan struct{} // one for each connection that may be open
+	classes  atomic.Pointer[classTable]
 	ready    atomic.Bool
 	away     atomic.Bool   // an operator sends the clients away
 	draining atomic.Bool   // the front ends
@@ -120,6 +121,7 @@
 		opts: o, listener: l, slots: make(chan struct{}, max(1, o.MaxConns)),
 		conns: map[*conn]struct{}{}, turned: map[int]int{}, stop: make(chan struct{}), taken: make(chan struct{}),
 	}
+	f.classes.Store(&classTable{byName: o.Classes})
 	f.sweeping.Add(1)
 	go f.accept()
 	go f.sweep()
