Say in the proof of addresses why a query has no answer and after how long

TestProofAddresses lost one query of 1,847 once, run beside five other packages. A query that runs out of time may end at its client's own 3 s first, which 2 others of that run did as expired; the next loss will tell.

--- a/daemon/proof_test.go
+++ b/daemon/proof_test.go
@@ -68,6 +68,9 @@
 					r := testkit.AskHTTP(context.Background(), d.Addr().String(), q)
 					mu.Lock()
 					kinds[name+" "+r.Kind]++
+					if r.Kind == "none" {
+						t.Logf("%s %s: no answer after %v: %v", name, q.ID, r.Took, r.Err)
+					}
 					if r.Kind == "served" {
 						all = append(all, asked{began, r.Took})
 					}
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -238,6 +238,7 @@
 
 // Reply is what a client got.
 type Reply struct {
+	Err        error  // with Kind none: why there is no answer
 	Kind       string // served, refused, failed, expired, invalid or none
 	Whole      bool
 	Values     map[int]string
@@ -278,7 +279,7 @@
 	start := time.Now()
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return Reply{Kind: "none"}
+		return Reply{Kind: "none", Err: err, Took: time.Since(start)}
 	}
 	defer res.Body.Close()
 	r := Reply{Kind: "failed", Values: map[int]string{}}
