Show that a dial's time-out hides want of descriptors, known to fail

Cause: net.Dialer sees by the clock that the deadline has passed before the context's timer fires; Dialer.again asks ctx.Err alone and takes the time-out for the other side's. The test gives it a context whose timer is late.

--- a/internal/netio/listen_test.go
+++ b/internal/netio/listen_test.go
@@ -1,10 +1,12 @@
 package netio
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // A socket, bind or listen that fails for a moment ends no start; an address that is taken
@@ -47,3 +49,27 @@
 	}
 	defer second.Close()
 }
+
+// overdue is a context whose time is over before its own timer has said so.
+type overdue struct {
+	context.Context
+	at time.Time
+}
+
+func (o overdue) Deadline() (time.Time, bool) { return o.at, true }
+
+// A dial that this machine has no descriptor for until its time is over fails with that,
+// also where the system's dialer sees the end before the context's timer does.
+func TestDialThatFailsHereUntilItsTimeIsOver(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ctx := overdue{context.Background(), time.Now().Add(5 * dialAgain / 2)}
+	d := NewDialer()
+	d.Control = func(string, string, syscall.RawConn) error { return syscall.EMFILE }
+	if _, err := d.DialOnly(ctx, "tcp", l.Addr().String()); !errors.Is(err, syscall.EMFILE) {
+		t.Errorf("got %v, want %v", err, syscall.EMFILE)
+	}
+}
