--- a/internal/netio/dialer.go
+++ b/internal/netio/dialer.go
@@ -65,7 +65,7 @@
 	var before error
 	for {
 		conn, err := d.dial(ctx, network, address)
-		if err != nil && before != nil && ctx.Err() != nil {
+		if err != nil && before != nil && over(ctx) {
 			return nil, before // that its time is over does not tell what it failed for
 		}
 		if err == nil || !passes(err) {
@@ -81,6 +81,13 @@
 	}
 }
 
+// over says whether a context's time is over. The system's dialer looks at the deadline
+// itself, and may see it pass before the context's own timer fires.
+func over(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return ctx.Err() != nil || bounded && !time.Now().Before(deadline)
+}
+
 func (d *Dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	select {
 	case d.starts <- struct{}{}:
