Give the next process the listening socket; both keep to half of the limits

With a socket each, those that the system had accepted for the first were reset when it closed: 4 of 4,603 in two replacements. Change: package takeover, a Unix socket in TMPDIR by the address of the broker; the first process sends the listening socket, the next says when it takes clients, and each sees the other's end by the connection's. While both run they have half of the descriptors for clients and for nodes and half of the memory each; the front's places are a counter with a bound that may change. At SIGTERM with a next process the first takes no new connection. Measured: its own tests pass under the race detector. TestReplacedProcess lost 5 requests in 3 of 15 runs, all on kept connections, whose end a request may cross: still known red.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -58,11 +59,15 @@
 			}
 			log, flush := logTo(cmd.ErrOrStderr())
 			defer flush()
-			daemon.TuneRuntime(cfg.Limits)
+			daemon.TuneRuntime(cfg.Limits, false)
 			d, err := daemon.Start(cfg, log)
 			if err != nil {
 				return err
 			}
+			var limits atomic.Pointer[config.Limits]
+			limits.Store(&cfg.Limits)
+			tune := func(beside bool) { daemon.TuneRuntime(*limits.Load(), beside) }
+			d.OnNeighbour(tune)
 			for {
 				select {
 				case <-ctx.Done(): // a second SIGTERM is still caught: it must not cut off what drains
@@ -76,7 +81,8 @@
 					continue
 				}
 				cfg = next
-				daemon.TuneRuntime(cfg.Limits)
+				limits.Store(&cfg.Limits)
+				d.OnNeighbour(tune)
 				d.Reload(cfg)
 			}
 		},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"onyxsail/internal/query"
 	"onyxsail/nodeclient"
 	"onyxsail/store"
+	"onyxsail/takeover"
 	"onyxsail/tracing"
 )
 
@@ -60,25 +61,29 @@
 
 // Daemon is one broker that runs.
 type Daemon struct {
-	cfg     *config.Config
-	log     zerolog.Logger
-	loop    *netio.Loop
-	core    *broker.Core
-	nodes   *nodeclient.Client
-	remote  *flightnode.Client
-	front   *httpfront.Front
-	flight  *flightfront.Front // nil: off
-	store   *store.Store       // nil: off
-	tracer  *tracing.Tracer    // nil: off
-	level   *level
-	window  atomic.Int64  // of the hand-over, in nanoseconds
-	admin   *admin.Server // nil: off
-	reloads reloads
-	seen    *roster
-	known   chan struct{}      // closed once a list with nodes is in hand
-	cancel  context.CancelFunc // of the wait for a list
-	stop    context.CancelFunc // of the core
-	wg      sync.WaitGroup
+	cfg             *config.Config
+	log             zerolog.Logger
+	loop            *netio.Loop
+	core            *broker.Core
+	nodes           *nodeclient.Client
+	remote          *flightnode.Client
+	front           *httpfront.Front
+	flight          *flightfront.Front // nil: off
+	store           *store.Store       // nil: off
+	tracer          *tracing.Tracer    // nil: off
+	level           *level
+	window          atomic.Int64          // of the hand-over, in nanoseconds
+	host            *takeover.Host        // for the process that takes this one's place; nil: none can
+	before          *takeover.Predecessor // whose place this one takes; nil: none
+	clients, frames int                   // descriptors while this process is alone
+	beside          neighbours
+	admin           *admin.Server // nil: off
+	reloads         reloads
+	seen            *roster
+	known           chan struct{}      // closed once a list with nodes is in hand
+	cancel          context.CancelFunc // of the wait for a list
+	stop            context.CancelFunc // of the core
+	wg              sync.WaitGroup
 
 	mu     sync.Mutex    // guards cfg, what follows, and limits that two sides set
 	over   bool          // Stop has begun
@@ -87,12 +92,18 @@
 
 // TuneRuntime fits the Go runtime to the platform's limits: it is called once
 // by a program that is the broker alone.
-func TuneRuntime(l config.Limits) {
+//
+// beside says that another process of the broker runs, which has half of the memory.
+func TuneRuntime(l config.Limits, beside bool) {
 	// Two, also on one core: the socket goroutine sits in epoll_wait, and with
 	// one the core would wait until the scheduler takes its place back.
 	runtime.GOMAXPROCS(max(2, int(l.Cores+0.5)))
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(max(leastHeap, int64(l.MemoryMB)<<20*7/10))
+		bytes := int64(l.MemoryMB) << 20 * 7 / 10
+		if beside {
+			bytes /= 2
+		}
+		debug.SetMemoryLimit(max(leastHeap, bytes))
 	}
 	debug.SetGCPercent(400) // the live heap is small beside the limit
 }
@@ -143,7 +154,7 @@
 	lev.set(cfg.LogLevel)
 	log = log.Sample(lev)
 	clients, frames := shares(sockets, cfg.Flight != nil, cfg.Known)
-	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev, known: make(chan struct{})}
+	d := &Daemon{cfg: cfg, log: log, loop: loop, level: lev, known: make(chan struct{}), clients: clients, frames: frames}
 	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.window.Store(int64(cfg.HandOver))
 	s := &sink{}
@@ -197,7 +208,7 @@
 	wait, d.cancel = context.WithCancel(context.Background())
 	d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
 		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
-		MaxConns: clients, Trace: cfg.Tracing != nil, Log: log,
+		MaxConns: clients, Listener: d.join(), Trace: cfg.Tracing != nil, Log: log,
 	})
 	if err == nil && cfg.Flight != nil {
 		d.flight, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
@@ -212,11 +223,12 @@
 		d.abort()
 		return nil, err
 	}
+	d.followBefore()
 	// Ready only with nodes to ask: until then every query would be refused,
 	// and the layer before us has other brokers.
 	select {
 	case <-d.known:
-		d.front.SetReady(true)
+		d.serving()
 	default:
 		d.wg.Add(1)
 		go func() {
@@ -230,7 +242,7 @@
 			case <-wait.Done():
 				return
 			}
-			d.front.SetReady(true)
+			d.serving()
 		}()
 	}
 	d.wg.Add(1)
@@ -342,9 +354,14 @@
 		cancel()
 		d.front.Drain(over, 0)
 	}
+	d.leave()
+	d.wg.Wait()
 	d.nodes.Close()
 	d.remote.Close()
 	d.loop.Stop()
+	if d.admin != nil {
+		d.admin.Close()
+	}
 	if d.tracer != nil {
 		d.tracer.Close(context.Background())
 	}
@@ -405,6 +422,9 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.core.EndBy(time.Now().Add(d.answerWithin()))
 	window := time.Duration(d.window.Load())
+	if d.succeeded() {
+		d.front.HandedOver()
+	}
 	d.log.Info().Str("event", "draining").Dur("window", window).Msg("told to stop")
 	ctx, cancel := context.WithTimeout(ctx, window+drainWithin)
 	defer cancel()
@@ -422,6 +442,7 @@
 	d.mu.Unlock()
 	d.cancel()
 	d.stop()
+	d.leave()
 	d.wg.Wait()
 	d.nodes.Close()
 	d.remote.Close()
--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -377,5 +377,5 @@
 		c.in = nil
 	}
 	c.f.mu.Unlock()
-	<-c.f.slots
+	c.f.places.release()
 }
--- a/httpfront/crossing_test.go
+++ b/httpfront/crossing_test.go
@@ -290,10 +290,10 @@
 			client.Close()
 		})
 	}
-	for i := range cap(f.slots) {
+	for i := range f.places.limit {
 		ask(fmt.Sprint("a", i))
 	}
-	testkit.Eventually(t, "all places are taken by queries", func() bool { return core.taken() == cap(f.slots) })
+	testkit.Eventually(t, "all places are taken by queries", func() bool { return core.taken() == f.places.limit })
 	for i := range more {
 		ask(fmt.Sprint("b", i))
 	}
@@ -303,7 +303,7 @@
 		close(ended)
 	}()
 	testkit.Eventually(t, "the last connections are taken", f.closing.Load)
-	for i := range cap(f.slots) + more {
+	for i := range f.places.limit + more {
 		testkit.Eventually(t, "the query is taken", func() bool { return core.taken() > i })
 		core.answer(broker.QueryID(i+1), broker.Reply{Verdict: broker.Served})
 	}
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -75,7 +75,8 @@
 	Classes  map[string]query.Class // at the start
 	Shards   int                    // 0: unknown
 	MaxConns int
-	Trace    bool // read the clients' trace contexts
+	Listener *net.TCPListener // another process's; nil: the front opens its own
+	Trace    bool             // read the clients' trace contexts
 	Log      zerolog.Logger
 }
 
@@ -83,12 +84,13 @@
 type Front struct {
 	opts     Options
 	listener listener
-	slots    chan struct{} // one for each connection that may be open
+	places   *places // one for each connection that may be open
 	classes  atomic.Pointer[classTable]
 	ready    atomic.Bool
 	away     atomic.Bool   // an operator sends the clients away
 	draining atomic.Bool   // the front ends
 	closing  atomic.Bool   // the last connections are taken
+	handed   atomic.Bool   // another process has the socket too
 	taken    chan struct{} // closed once no more are
 	sweeping sync.WaitGroup
 	stop     chan struct{}
@@ -102,11 +104,14 @@
 
 // Listen opens the front's socket and begins to serve.
 func Listen(addr string, o Options) (*Front, error) {
-	l, err := netio.ListenShared(addr)
-	if err != nil {
-		return nil, fmt.Errorf("listening for clients: %w", err)
+	if o.Listener == nil {
+		l, err := netio.ListenShared(addr)
+		if err != nil {
+			return nil, fmt.Errorf("listening for clients: %w", err)
+		}
+		o.Listener = l
 	}
-	return serve(l, o), nil
+	return serve(o.Listener, o), nil
 }
 
 // listener is a socket whose accepts may be given a deadline.
@@ -118,7 +123,7 @@
 
 func serve(l listener, o Options) *Front {
 	f := &Front{
-		opts: o, listener: l, slots: make(chan struct{}, max(1, o.MaxConns)),
+		opts: o, listener: l, places: newPlaces(o.MaxConns),
 		conns: map[*conn]struct{}{}, turned: map[int]int{}, stop: make(chan struct{}), taken: make(chan struct{}),
 	}
 	f.classes.Store(&classTable{byName: o.Classes})
@@ -128,6 +133,13 @@
 	return f
 }
 
+// Listener is the front's socket, for a process that takes this one's place; nil where it
+// is none of TCP.
+func (f *Front) Listener() *net.TCPListener {
+	l, _ := f.listener.(*net.TCPListener)
+	return l
+}
+
 // Addr is where the front listens.
 func (f *Front) Addr() net.Addr { return f.listener.Addr() }
 
@@ -151,12 +163,12 @@
 			return
 		}
 		// Those that the system has taken for us would be reset with the socket.
-		if f.closing.Load() && !netio.Waiting(f.listener) {
+		if f.closing.Load() && (f.handed.Load() || !netio.Waiting(f.listener)) {
 			return
 		}
 		nc, err := f.listener.Accept()
 		if err != nil {
-			<-f.slots
+			f.places.release()
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
@@ -180,31 +192,28 @@
 			c.place()
 		})
 		if err != nil {
-			if c.sock == nil { // else Closed gives the slot back
-				<-f.slots
+			if c.sock == nil { // else Closed gives the place back
+				f.places.release()
 			}
 			f.opts.Log.Warn().Str("event", "accept").Err(err).Msg("a connection could not be accepted")
 		}
 	}
 }
 
-// room takes a slot for one more connection; false says that the front ends. Where all are taken, one that is
+// room takes a place for one more connection; false says that the front ends. Where all are taken, one that is
 // of least use is closed: clients that ask once and keep their connection, or
 // say nothing, would otherwise shut out all others. Where none may be closed,
 // what is not accepted yet is not ours and waits.
 func (f *Front) room() bool {
 	for {
-		select {
-		case f.slots <- struct{}{}:
+		if f.places.take() {
 			return true
-		default:
 		}
 		f.evict()
 		select {
 		case <-f.stop:
 			return false
-		case f.slots <- struct{}{}:
-			return true
+		case <-f.places.back:
 		case <-time.After(roomEvery):
 		}
 	}
@@ -280,7 +289,7 @@
 // crowded says that connections are scarce: answers then ask for their end at
 // once. Clients that ask once and keep the connection would otherwise hold all
 // that they may have, and the next would find none.
-func (f *Front) crowded() bool { return len(f.slots) > cap(f.slots)*5/8 }
+func (f *Front) crowded() bool { return f.places.scarcer(5) }
 
 // turnAway counts a request that cannot be taken.
 func (f *Front) turnAway(status int) {
@@ -315,7 +324,7 @@
 
 func (f *Front) sweepOnce() {
 	spare := idleMost
-	if len(f.slots) > cap(f.slots)/2 {
+	if f.places.scarcer(4) {
 		spare = idleLeast
 	}
 	for s, most := range map[state]time.Duration{silent: silentFor, idle: spare, leaving: lingerFor} {
@@ -326,6 +335,9 @@
 	for _, c := range f.overdue() {
 		c.over(reading)
 	}
+	for range f.places.excess() {
+		f.evict()
+	}
 	if f.away.Load() && !f.draining.Load() {
 		for _, c := range f.list() {
 			c.endIfIdle(wholeWithin)
@@ -361,13 +373,23 @@
 	return all
 }
 
+// SetMaxConns changes how many connections may be open. Where more are, those that carry no
+// request make room first.
+func (f *Front) SetMaxConns(limit int) { f.places.setLimit(limit) }
+
+// HandedOver says that another process accepts from the same socket: a drain then takes no
+// new connections, and its end resets none.
+func (f *Front) HandedOver() { f.handed.Store(true) }
+
 // Drain ends the front without cutting off a request: /ready says no, answers
 // ask for the connection's end, and new connections are taken for window. Then
 // those that the system has taken for the front come in, the socket closes, and Drain
 // returns when no request is left and the connections are closed, or when ctx ends.
 func (f *Front) Drain(ctx context.Context, window time.Duration) {
 	f.draining.Store(true)
-	sleep(ctx, window)
+	if !f.handed.Load() {
+		sleep(ctx, window)
+	}
 	f.closing.Store(true)
 	_ = f.listener.SetDeadline(time.Now()) // wakes the accept; fails where it is closed
 	taken := f.taken
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -189,7 +189,7 @@
 			}
 		}
 		conn.Close()
-		for len(f.slots) > 1 { // one is taken for the next: a crowded front ends connections
+		for f.places.held() > 1 { // one is taken for the next: a crowded front ends connections
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -380,7 +380,7 @@
 // Clients that asked once and keep their connections make room for others.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	f, _ := start(t)
-	for range 3 * cap(f.slots) {
+	for range 3 * f.places.limit {
 		conn, in := dial(t, f)
 		if _, err := io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 			t.Fatal(err)
@@ -435,7 +435,7 @@
 // Where connections are scarce, answers ask for their end.
 func TestCrowdedFrontEndsConnections(t *testing.T) {
 	f, _ := start(t)
-	few := cap(f.slots) * 5 / 8
+	few := f.places.limit * 5 / 8
 	for i := range few + 2 {
 		conn, in := dial(t, f)
 		if _, err := io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
--- a/httpfront/terms_test.go
+++ b/httpfront/terms_test.go
@@ -160,18 +160,18 @@
 func TestTimeBeforeTheAcceptIsCounted(t *testing.T) {
 	const waited, slack = 400 * time.Millisecond, 150 * time.Millisecond
 	f, core := start(t)
-	for i := range cap(f.slots) { // all places are taken, by requests in work
+	for i := range f.places.limit { // all places are taken, by requests in work
 		client, _ := dial(t, f)
 		say(t, client, named("busy"+string(rune('a'+i))))
 	}
-	testkit.Eventually(t, "all are taken", func() bool { return core.taken() == cap(f.slots) })
+	testkit.Eventually(t, "all are taken", func() bool { return core.taken() == f.places.limit })
 	client, _ := dial(t, f)
 	say(t, client, named("waits"))
 	sent := time.Now()
 	time.Sleep(waited)
 	core.answer(1, broker.Reply{Verdict: broker.Refused}) // its connection ends, as places are scarce
-	testkit.Eventually(t, "the last is taken", func() bool { return core.taken() == cap(f.slots)+1 })
-	q := core.queries[broker.QueryID(cap(f.slots)+1)]
+	testkit.Eventually(t, "the last is taken", func() bool { return core.taken() == f.places.limit+1 })
+	q := core.queries[broker.QueryID(f.places.limit+1)]
 	if left, told := q.Budget-time.Since(sent), q.Budget-time.Since(q.Came); told > left+slack {
 		t.Errorf("the client has %v left, the core is told %v", left, told)
 	}
@@ -235,7 +235,7 @@
 // scarce such a connection goes at once, as there is no answer of it to protect.
 func TestCrowdHoldsUpNoRequest(t *testing.T) {
 	f, core := start(t)
-	for range 5 * cap(f.slots) { // which never close: they wait for the front to do it
+	for range 5 * f.places.limit { // which never close: they wait for the front to do it
 		dial(t, f)
 	}
 	began := time.Now()
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -281,6 +281,14 @@
 	return cn
 }
 
+// SetMaxConns changes how many connections may be open over all nodes. Those beyond it stay
+// until they rest.
+func (c *Client) SetMaxConns(limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opts.MaxConns = max(1, limit)
+}
+
 // Relayed is how many attempts have been written whole to nodes.
 func (c *Client) Relayed() int64 { return c.relayed.Load() }
 
