Keep resting connections while a process is replaced; share the open queries

Change: with a next process the first ends connections behind an answer alone, and those that rest after 8 tenths of its time for answers. While both run each holds half of the open queries and parts; /ready on a kept connection says yes while the next process serves.

--- a/cli/operate_test.go
+++ b/cli/operate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -279,19 +280,20 @@
 // A second process starts beside the first and takes its place; clients on kept and on
 // new connections lose nothing.
 func TestReplacedProcess(t *testing.T) {
+	const sockets = 256
 	n := testkit.NewNode(t, "s-1", false)
 	warm := n.Entry()
 	warm.Started = 1
 	d := testkit.NewDiscovery(t, warm)
 	cfg := testkit.Config(d.Addr, []testkit.Entry{warm}, testkit.Settings(nil), map[string]any{
-		"hand_over_ms": 550, "limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 256},
+		"hand_over_ms": 550, "limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": sockets},
 	})
 	listen, folder := freeAddr(t), t.TempDir()
 	old, _ := operated(t, cfg, listen, "TMPDIR="+folder)
 	over := make(chan struct{})
 	var clients sync.WaitGroup
 	var mu sync.Mutex
-	lost, served := []string(nil), 0
+	lost, served, took := []string(nil), 0, []time.Duration(nil)
 	for c := range 4 {
 		clients.Go(func() {
 			var conn *peer
@@ -302,6 +304,7 @@
 				default:
 				}
 				id := fmt.Sprintf("r%d-%d", c, i)
+				began := time.Now()
 				status, last, err := askOn(&conn, listen, id)
 				if c%2 == 0 || last { // half of the clients come anew each time
 					if conn != nil {
@@ -314,19 +317,45 @@
 					lost = append(lost, fmt.Sprintf("%s: %d, %v", id, status, err))
 				} else if status == http.StatusOK {
 					served++
+					took = append(took, time.Since(began))
 				}
 				mu.Unlock()
 			}
 		})
 	}
-	const upgrades = 2
-	for range upgrades {
+	upgrades, peakKB := 2, 0 // REPLACEMENTS names another number
+	if n, err := strconv.Atoi(os.Getenv("REPLACEMENTS")); err == nil {
+		upgrades = n
+	}
+	for i := range upgrades {
+		slow, resting := open(t, listen), open(t, listen)
+		text := query(fmt.Sprint("slow", i), 3*time.Second)
+		slow.send(t, text[:len(text)/2])
 		began := time.Now()
 		next, _ := operated(t, cfg, listen, "TMPDIR="+folder)
 		if took := time.Since(began); took > upgradeWithin {
 			t.Errorf("the new process says yes after %v", took)
 		}
-		old.stop(t)
+		_, first, fds := old.numbers(t)
+		_, second, more := next.numbers(t)
+		if peakKB = max(peakKB, first+second); fds+more > sockets {
+			t.Errorf("%d and %d descriptors, want %d together", fds, more, sockets)
+		}
+		_ = old.cmd.Process.Signal(syscall.SIGTERM) // stop, below, fails where it has ended
+		time.Sleep(1200 * time.Millisecond)
+		if !ready(listen) {
+			t.Error("the broker is not ready while its process is replaced")
+		}
+		slow.send(t, text[len(text)/2:]) // a client that takes its time to write
+		resting.send(t, query(fmt.Sprint("rested", i), time.Second))
+		for name, c := range map[string]*peer{"slow": slow, "resting": resting} {
+			if res := c.answered(t, time.Now().Add(3*time.Second)); res.StatusCode != http.StatusOK {
+				t.Errorf("the %s client: %d", name, res.StatusCode)
+			}
+		}
+		if err := old.end(); err != nil {
+			t.Fatalf("exit: %v\n%s", err, old.text())
+		}
 		old = next
 	}
 	time.Sleep(200 * time.Millisecond) // the last process alone
@@ -335,6 +364,16 @@
 	if served == 0 || len(lost) > 0 {
 		t.Errorf("%d served, %d lost: %v", served, len(lost), lost)
 	}
+	seen := map[string]bool{}
+	for _, call := range n.Calls() { // nothing failed: each part is sent once
+		if seen[call.ID] {
+			t.Errorf("part %s was sent twice", call.ID)
+		}
+		seen[call.ID] = true
+	}
+	slices.Sort(took)
+	t.Logf("%d replacements, %d served, 99th percentile %v, longest %v, both processes %d KB at most",
+		upgrades, served, took[len(took)*99/100], took[len(took)-1], peakKB)
 	old.stop(t)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,9 @@
 	killGrace      = 700 * time.Millisecond
 	longestCounted = 3 * time.Second
 	stopSpare      = 250 * time.Millisecond
+	// restShare is the part, in hundredths, of the time for answers for which a process that
+	// has been replaced keeps connections that rest: what still comes there needs the rest.
+	restShare = 80
 	// toldWithin is when news of the list counts as told once discovery has it and can be
 	// reached, whatever calls have failed before.
 	toldWithin = 6 * time.Second
@@ -87,7 +90,8 @@
 
 	mu     sync.Mutex    // guards cfg, what follows, and limits that two sides set
 	over   bool          // Stop has begun
-	limits broker.Limits // as the core was told last
+	limits broker.Limits // of the whole broker, as its two sides have set them
+	shared bool          // another process runs beside this one and has half of them
 }
 
 // TuneRuntime fits the Go runtime to the platform's limits: it is called once
@@ -323,7 +327,7 @@
 	}
 	if next.Settings.MaxOpen != old.Settings.MaxOpen {
 		d.limits.MaxOpen = next.Settings.MaxOpen
-		d.core.SetLimits(d.limits)
+		d.applyLimits()
 	}
 	if next.Discovery != old.Discovery {
 		d.followAt(next.Discovery, nil)
@@ -420,10 +424,11 @@
 // Stop takes new connections through the hand-over window, answers all that
 // was taken and ends.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.core.EndBy(time.Now().Add(d.answerWithin()))
+	told, within := time.Now(), d.answerWithin()
+	d.core.EndBy(told.Add(within))
 	window := time.Duration(d.window.Load())
 	if d.succeeded() {
-		d.front.HandedOver()
+		d.front.HandedOver(told.Add(within * restShare / 100))
 	}
 	d.log.Info().Str("event", "draining").Dur("window", window).Msg("told to stop")
 	ctx, cancel := context.WithTimeout(ctx, window+drainWithin)
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -174,7 +174,7 @@
 		open = c.MaxOpen
 	}
 	d.limits = broker.Limits{QueueLimit: c.QueueLimit, MaxOpen: open}
-	d.core.SetLimits(d.limits)
+	d.applyLimits()
 	d.log.Info().Str("event", "configured").Uint64("version", c.Version).Msg("a configuration took effect")
 }
 
--- a/daemon/takeover.go
+++ b/daemon/takeover.go
@@ -42,11 +42,24 @@
 	}
 	d.front.SetMaxConns(clients)
 	d.nodes.SetMaxConns(frames)
+	d.mu.Lock()
+	d.shared = beside
+	d.applyLimits()
+	d.mu.Unlock()
 	if n.changed != nil {
 		n.changed(beside)
 	}
 }
 
+// applyLimits tells the core its limits; d.mu is held.
+func (d *Daemon) applyLimits() {
+	limits := d.limits
+	if d.shared && limits.MaxOpen > 0 {
+		limits.MaxOpen = max(1, limits.MaxOpen/2)
+	}
+	d.core.SetLimits(limits)
+}
+
 // Beside implements takeover.Neighbour.
 func (d *Daemon) Beside(is bool) { d.neighbour(func(n *neighbours) { n.next = is }) }
 
@@ -90,12 +103,17 @@
 
 // serving begins to take clients, and to wait for the process that takes this one's place.
 func (d *Daemon) serving() {
-	d.front.SetReady(true)
-	if d.before != nil {
-		if err := d.before.Ready(); err != nil { // it has ended
+	d.openHost()
+	if d.before != nil { // it may be told to stop as soon as this one says yes
+		if err := d.before.Ready(); err != nil {
 			d.log.Warn().Str("event", "takeover").Err(err).Msg("the process before was not told")
 		}
 	}
+	d.front.SetReady(true)
+}
+
+// openHost waits for the process that takes this one's place.
+func (d *Daemon) openHost() {
 	if !replaceable(d.cfg) {
 		return
 	}
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -91,6 +91,7 @@
 	draining atomic.Bool   // the front ends
 	closing  atomic.Bool   // the last connections are taken
 	handed   atomic.Bool   // another process has the socket too
+	until    time.Time     // with handed, once it is set: how long connections that rest are kept
 	taken    chan struct{} // closed once no more are
 	sweeping sync.WaitGroup
 	stop     chan struct{}
@@ -146,8 +147,11 @@
 // SetReady makes GET /ready answer 200, until the front drains.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
-// Ready says whether GET /ready answers 200.
-func (f *Front) Ready() bool { return f.ready.Load() && !f.sheds() }
+// Ready says whether GET /ready answers 200. Once another process has the socket, the
+// broker takes clients there though this front ends.
+func (f *Front) Ready() bool {
+	return f.ready.Load() && !f.away.Load() && (f.handed.Load() || !f.draining.Load())
+}
 
 // SendAway begins an operator's drain, or ends it: meanwhile /ready says no, answers ask
 // for the connection's end, and connections that rest are ended. New ones are taken.
@@ -377,9 +381,13 @@
 // request make room first.
 func (f *Front) SetMaxConns(limit int) { f.places.setLimit(limit) }
 
-// HandedOver says that another process accepts from the same socket: a drain then takes no
-// new connections, and its end resets none.
-func (f *Front) HandedOver() { f.handed.Store(true) }
+// HandedOver says, before a drain, that another process accepts from the same socket. The
+// drain then takes no new connections, and its end resets none. It ends connections behind
+// an answer alone, which no request can cross, and those that rest only at the given time.
+func (f *Front) HandedOver(until time.Time) {
+	f.until = until
+	f.handed.Store(true)
+}
 
 // Drain ends the front without cutting off a request: /ready says no, answers
 // ask for the connection's end, and new connections are taken for window. Then
@@ -404,8 +412,10 @@
 		if taken == nil && len(open) == 0 {
 			break
 		}
-		for _, c := range open {
-			c.endIfIdle(drainMid)
+		if !f.handed.Load() || !time.Now().Before(f.until) {
+			for _, c := range open {
+				c.endIfIdle(drainMid)
+			}
 		}
 		f.sweepOnce()
 		sleep(ctx, 10*time.Millisecond)
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -60,6 +60,8 @@
 	// Listener is the clients' listening socket, which both processes have.
 	Listener *net.TCPListener
 	conn     *net.UnixConn
+	known    chan struct{} // closed once the process before knows that this one takes clients
+	ended    chan struct{} // closed once it has ended
 }
 
 // Join connects to the broker that runs at addr and shares the folder. Without an error and
@@ -82,7 +84,9 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("joining the running process: %w", err)
 	}
-	return &Predecessor{listener, conn}, nil
+	own := &Predecessor{Listener: listener, conn: conn, known: make(chan struct{}), ended: make(chan struct{})}
+	go own.follow() // until the connection ends
+	return own, nil
 }
 
 // hello reads the first message, which carries the socket.
@@ -139,18 +143,48 @@
 	return files, nil
 }
 
-// Ready tells the process before that this one takes clients.
-func (p *Predecessor) Ready() error { return send(p.conn, message{Version: version, Ready: true}, nil) }
+// Ready tells the process before that this one takes clients, and returns when that knows:
+// it may be told to stop at once. Without an answer in time, or where that process has
+// ended, it returns an error.
+func (p *Predecessor) Ready() error {
+	if err := send(p.conn, message{Version: version, Ready: true}, nil); err != nil {
+		return err
+	}
+	select {
+	case <-p.known:
+		return nil
+	case <-p.ended:
+		return errEnded
+	case <-time.After(helloWithin):
+		return errNoAnswer
+	}
+}
 
-// Wait returns when the process before has ended, or Close is called.
-func (p *Predecessor) Wait() {
+var (
+	errEnded    = errors.New("the process before has ended")
+	errNoAnswer = errors.New("the process before does not answer")
+)
+
+// follow reads what the process before says until it has ended.
+func (p *Predecessor) follow() {
+	defer close(p.ended)
+	text, known := make([]byte, maxMessage), false
 	for {
-		if _, err := p.conn.Read(make([]byte, maxMessage)); err != nil {
+		n, err := p.conn.Read(text)
+		if err != nil {
 			return
 		}
+		var m message
+		if json.Unmarshal(text[:n], &m) == nil && m.Ready && !known {
+			known = true
+			close(p.known)
+		}
 	}
 }
 
+// Wait returns when the process before has ended, or Close is called.
+func (p *Predecessor) Wait() { <-p.ended }
+
 // Close ends the connection to the process before.
 func (p *Predecessor) Close() { _ = p.conn.Close() }
 
@@ -273,6 +307,9 @@
 			h.mu.Lock()
 			h.conns[conn] = true
 			h.mu.Unlock()
+			if err := send(conn, message{Version: version, Ready: true}, nil); err != nil {
+				return
+			}
 			h.opts.Log.Info().Str("event", "takeover").Msg("a next process takes clients")
 		}
 	}
