--- a/config/reload_test.go
+++ b/config/reload_test.go
@@ -31,16 +31,7 @@
 // edit changes a file's tree.
 func edit(t *testing.T, data []byte, change func(file, settings map[string]any)) []byte {
 	t.Helper()
-	var file map[string]any
-	if err := json.Unmarshal(data, &file); err != nil {
-		t.Fatal(err)
-	}
-	change(file, file["settings"].(map[string]any))
-	out, err := json.Marshal(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return out
+	return testkit.Edit(t, data, func(file map[string]any) { change(file, file["settings"].(map[string]any)) })
 }
 
 // A file without a key that the one in use has is turned down whole, whichever it is, and
--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -341,9 +341,9 @@
 }
 
 // endIfIdle ends a connection that carries no request, while draining. A
-// request that has begun may still become whole within mid; one that never
+// request that has begun may still become whole for a while; one that never
 // does must not keep the program from its end.
-func (c *conn) endIfIdle(mid time.Duration) {
+func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.place()
@@ -353,7 +353,7 @@
 		if c.spoke || time.Since(c.since) > youngest { // else its first request is on its way
 			c.rest()
 		}
-	case time.Since(c.since) > mid:
+	case time.Since(c.since) > drainMid:
 		c.reject(http.StatusRequestTimeout, "the request did not become whole")
 	}
 }
--- a/httpfront/crossing_test.go
+++ b/httpfront/crossing_test.go
@@ -129,7 +129,7 @@
 			f.mu.Unlock()
 			f.evict()
 		},
-		"a stop": func(_ *Front, c *conn) { c.endIfIdle(drainMid) },
+		"a stop": func(_ *Front, c *conn) { c.endIfIdle() },
 	} {
 		for _, first := range []bool{true, false} { // a resting connection, and one whose first request it is
 			f, core, loop := startAt(t, func(l listener) listener { return l })
@@ -212,7 +212,7 @@
 	c.mu.Lock()
 	c.since = time.Now().Add(time.Hour) // as young as can be
 	c.mu.Unlock()
-	c.endIfIdle(drainMid)
+	c.endIfIdle()
 	say(t, client, named("a"))
 	testkit.Eventually(t, "the query is taken", func() bool { return core.taken() == 1 })
 	core.answer(1, broker.Reply{Verdict: broker.Served})
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -39,8 +39,11 @@
 	lingerFor    = time.Second             // for the other side's end, after ours
 	unreadFor    = 5 * time.Second         // for the other side to read an answer
 	drainMid     = time.Second             // for a request that has begun, once draining
-	sweepEvery   = 100 * time.Millisecond
-	longestWait  = time.Minute // that is believed of a connection before its accept
+	// awayRest is how long a connection rests before it is ended while clients are sent away:
+	// one in use is ended behind its next answer, which no request can cross.
+	awayRest    = time.Second
+	sweepEvery  = 100 * time.Millisecond
+	longestWait = time.Minute // that is believed of a connection before its accept
 	// youngest is how old a connection must be at least to make room for
 	// another: its first request may wait to be read.
 	youngest  = 100 * time.Millisecond
@@ -342,9 +345,11 @@
 	for range f.places.excess() {
 		f.evict()
 	}
-	if f.away.Load() && !f.draining.Load() {
-		for _, c := range f.list() {
-			c.endIfIdle(wholeWithin)
+	if f.away.Load() {
+		for _, s := range []state{silent, idle} {
+			for _, c := range f.longest(s, awayRest) {
+				c.over(s)
+			}
 		}
 	}
 }
@@ -414,7 +419,7 @@
 		}
 		if !f.handed.Load() || !time.Now().Before(f.until) {
 			for _, c := range open {
-				c.endIfIdle(drainMid)
+				c.endIfIdle()
 			}
 		}
 		f.sweepOnce()
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -431,3 +431,18 @@
 		}
 	}
 }
+
+// Edit changes a configuration's tree.
+func Edit(t testing.TB, cfg []byte, change func(file map[string]any)) []byte {
+	t.Helper()
+	var file map[string]any
+	if err := json.Unmarshal(cfg, &file); err != nil {
+		t.Fatal(err)
+	}
+	change(file)
+	out, err := json.Marshal(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
