--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -79,7 +79,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("joining the running process: %w", err)
 	}
-	listener, err := hello(conn)
+	var listener *net.TCPListener
+	if err = sameUser(conn); err == nil {
+		listener, err = hello(conn)
+	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("joining the running process: %w", err)
@@ -89,6 +92,34 @@
 	return own, nil
 }
 
+// errForeign says that the other process belongs to another user: a folder for temporary
+// files may be everybody's.
+var errForeign = errors.New("the other process belongs to another user")
+
+// userOf returns the user of the process at the other end; a test puts another in its place.
+var userOf = func(conn *net.UnixConn) (user uint32, err error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	failed := raw.Control(func(fd uintptr) {
+		var peer *unix.Ucred
+		if peer, err = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED); err == nil {
+			user = peer.Uid
+		}
+	})
+	return user, errors.Join(failed, err)
+}
+
+// sameUser fails where the other process is not one of this process's user.
+func sameUser(conn *net.UnixConn) error {
+	user, err := userOf(conn)
+	if err == nil && user != uint32(os.Geteuid()) {
+		err = errForeign
+	}
+	return err
+}
+
 // hello reads the first message, which carries the socket.
 func hello(conn *net.UnixConn) (*net.TCPListener, error) {
 	if err := conn.SetReadDeadline(time.Now().Add(helloWithin)); err != nil {
@@ -292,7 +323,11 @@
 		h.mu.Unlock()
 		h.opts.Neighbour.Beside(beside)
 	}()
-	if err := h.hand(conn); err != nil {
+	err := sameUser(conn)
+	if err == nil {
+		err = h.hand(conn)
+	}
+	if err != nil {
 		h.opts.Log.Warn().Str("event", "takeover").Err(err).Msg("a next process could not be given the socket")
 		return
 	}
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -1,6 +1,7 @@
 package takeover
 
 import (
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
@@ -127,6 +128,18 @@
 	}
 }
 
+// A process of another user neither gets the socket nor is taken for the one before.
+func TestProcessOfAnotherUser(t *testing.T) {
+	own := userOf
+	t.Cleanup(func() { userOf = own }) // once the host has ended
+	userOf = func(*net.UnixConn) (uint32, error) { return uint32(os.Geteuid()) + 1, nil }
+	dir := t.TempDir()
+	host(t, dir)
+	if p, err := Join(dir, addr); p != nil || !errors.Is(err, errForeign) {
+		t.Errorf("got %v, %v", p, err)
+	}
+}
+
 // Without a process there, or with one that was killed, the next one is on its own; what
 // lies in the folder otherwise is an error or no predecessor, and hangs nothing.
 func TestNobodyToJoin(t *testing.T) {
