--- a/broker/broker.go
+++ b/broker/broker.go
@@ -86,6 +86,7 @@
 	Node
 	left    time.Time // when it was told to be draining or gone
 	readyAt float64   // its start on the core's clock
+	sent    time.Time // when an attempt was last sent there
 }
 
 type query struct {
@@ -290,7 +291,7 @@
 		c.opts.Settings.Classes, c.opts.Settings.MaxAttempts = in.classes, in.attempts
 		c.root.Reconfigure(in.classes, in.attempts)
 	case inSurvey:
-		in.survey <- c.survey()
+		in.survey <- c.survey(now)
 	case inLimits:
 		c.opts.Limits = in.limits
 		c.queue.setLimit(in.limits.QueueLimit)
@@ -503,7 +504,7 @@
 	if a.Ms > 0 {
 		wait = min(wait, duration(a.Ms))
 	}
-	t.node = n.ID
+	t.node, n.sent = n.ID, now
 	c.stats.attempts.Add(1)
 	heap.Push(&c.timers, timer{at: now.Add(wait), try: t.id})
 	c.batch = append(c.batch, Attempt{
--- a/broker/counts.go
+++ b/broker/counts.go
@@ -66,9 +66,13 @@
 // Survey is the core's view of the list of nodes.
 type Survey struct {
 	Listed  int // nodes of the list that are not gone
-	Avoided int // of these, the ones that drain or are in doubt
+	Avoided int // of these, the ones that drain, or are in doubt and were sent nothing lately
 }
 
+// avoidedFor is how long a node in doubt must have been sent nothing to count as avoided:
+// one that gets its trials is not left out.
+const avoidedFor = 500 * time.Millisecond
+
 // Survey asks the core's goroutine for its view of the list. It returns the latest one
 // that it has had where the core has not answered when ctx ends.
 func (c *Core) Survey(ctx context.Context) Survey {
@@ -87,13 +91,13 @@
 }
 
 // survey is the answer to Survey.
-func (c *Core) survey() (s Survey) {
+func (c *Core) survey(now time.Time) (s Survey) {
 	for addr, n := range c.nodes {
 		if n.State == decide.Gone {
 			continue
 		}
 		s.Listed++
-		if n.State != decide.Ready || c.root.InDoubt(addr) {
+		if n.State != decide.Ready || c.root.InDoubt(addr) && now.Sub(n.sent) > avoidedFor {
 			s.Avoided++
 		}
 	}
