--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -227,14 +227,14 @@
 }
 
 // evict ends one connection that carries no request, if there is one. Its place is
-// free when the client has closed it too, or has had time to.
-func (f *Front) evict() {
+// free when the client has closed it too, or has had time to. It says whether there was one.
+func (f *Front) evict() bool {
 	for _, v := range []struct {
 		state state
 		age   time.Duration
 	}{{leaving, youngest}, {silent, youngest}, {idle, idleLeast}, {reading, halfForRoom}, {idle, youngest}} {
 		if v.state != leaving && f.leave() >= maxLeaving {
-			return
+			return false
 		}
 		for _, c := range f.longest(v.state, v.age) {
 			if c.over(v.state) {
@@ -244,10 +244,11 @@
 				f.mu.Lock()
 				f.ousted[v.state]++
 				f.mu.Unlock()
-				return
+				return true
 			}
 		}
 	}
+	return false
 }
 
 // leave counts the connections that have been ended and are not closed yet.
@@ -343,7 +344,9 @@
 		c.over(reading)
 	}
 	for range f.places.excess() {
-		f.evict()
+		if !f.evict() {
+			break
+		}
 	}
 	if f.away.Load() {
 		for _, s := range []state{silent, idle} {
