Read the list of a configuration once at a start

Cause: the check of a reload decoded the whole file twice more at every start, the known list of hundreds of nodes with it, under a tenth of a processor. Now only settings and limits are decoded for it.

--- a/config/config.go
+++ b/config/config.go
@@ -93,8 +93,8 @@
 	// does not know, and a list in known that cannot be read.
 	Notes []Field
 
-	tree essential       // what a reload checks as it is written
-	keys map[string]bool // of the file, by path
+	essential essential       // what a reload checks as it is written
+	keys      map[string]bool // of the file, by path
 }
 
 // file is what the platform's file says, in the platform's words. It may say
@@ -220,9 +220,6 @@
 	if err := c.decode(data, &f); err != nil {
 		return nil, err
 	}
-	if err := c.remember(data); err != nil {
-		return nil, err
-	}
 	c.FileDiscovery = f.Discovery
 	for name, field := range map[string]*string{"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery} {
 		if v := getenv(name); v != "" {
@@ -320,7 +317,7 @@
 			return &Field{name, err}
 		}
 	}
-	return nil
+	return c.remember(all)
 }
 
 // errUnknown is the fault of a field that the program does not know.
--- a/config/reload.go
+++ b/config/reload.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -48,12 +47,12 @@
 			return wrong(path, "missing, and the file in use has it")
 		}
 	}
-	for i, class := range c.tree.Settings.Classes {
+	for i, class := range c.essential.Classes {
 		if err := aboveZero(fmt.Sprintf("settings.classes[%d].deadlineMs", i), class.DeadlineMs); err != nil {
 			return err
 		}
 	}
-	return aboveZero("settings.caps.maxAttempts", c.tree.Settings.Caps.MaxAttempts)
+	return aboveZero("settings.caps.maxAttempts", c.essential.Caps.MaxAttempts)
 }
 
 // aboveZero checks that a value is a number above 0: a text that looks like one is none.
@@ -67,38 +66,38 @@
 
 // essential are the settings that a reload looks at as they are written.
 type essential struct {
-	Settings struct {
-		Classes []struct {
-			DeadlineMs json.RawMessage `json:"deadlineMs"`
-		} `json:"classes"`
-		Caps struct {
-			MaxAttempts json.RawMessage `json:"maxAttempts"`
-		} `json:"caps"`
-	} `json:"settings"`
+	Classes []struct {
+		DeadlineMs json.RawMessage `json:"deadlineMs"`
+	} `json:"classes"`
+	Caps struct {
+		MaxAttempts json.RawMessage `json:"maxAttempts"`
+	} `json:"caps"`
 }
 
-// remember keeps what a later reload compares with.
-func (c *Config) remember(data []byte) error {
-	if err := json.Unmarshal(data, &c.tree); err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.UseNumber()
-	var all map[string]any
-	if err := d.Decode(&all); err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	for name := range all {
-		if !platformFields[name] {
-			delete(all, name) // the operator's own, which may go at any time
+// remember keeps what a later reload compares with, of the fields of the top level. The
+// list in known may be long and is read by itself.
+func (c *Config) remember(fields map[string]json.RawMessage) error {
+	if raw := fields["settings"]; len(raw) > 0 {
+		if err := json.Unmarshal(raw, &c.essential); err != nil {
+			return &Field{"settings", err}
 		}
 	}
-	if _, listed := all["known"]; listed {
-		all["known"] = nil // the list is read by itself
-	}
 	c.keys = map[string]bool{}
-	for _, path := range keysOf("", all) {
-		c.keys[path] = true
+	for name, raw := range fields {
+		if !platformFields[name] {
+			continue // the operator's own, which may go at any time
+		}
+		c.keys[name] = true
+		if name != "settings" && name != "limits" {
+			continue
+		}
+		var below any
+		if err := json.Unmarshal(raw, &below); err != nil {
+			return &Field{name, err}
+		}
+		for _, path := range keysOf(name, below) {
+			c.keys[path] = true
+		}
 	}
 	return nil
 }
