Have the proof of addresses say why a query has no answer, and the broker's account of it

The proof keeps the broker's traces in memory and prints those of what had no answer; the faults' seed is a flag with its old value as the default.

--- a/daemon/proof_test.go
+++ b/daemon/proof_test.go
@@ -18,9 +18,16 @@
 	"onyxsail/config"
 	"onyxsail/daemon"
 	"onyxsail/internal/testkit"
+	"onyxsail/tracing/record"
+	"onyxsail/tracing/view"
 )
 
-var proofFor = flag.Duration("proof.for", 0, "how long the proof runs; 0: the short form")
+var (
+	proofFor    = flag.Duration("proof.for", 0, "how long the proof runs; 0: the short form")
+	proofSeed   = flag.Uint64("proof.seed", 3, "the seed of the faults")
+	proofShow   = flag.String("proof.show", "none", "whose accounts are logged, by how they ended: none, failed, refused or expired")
+	proofTraced = flag.Bool("proof.traced", true, "have the broker keep an account of bad queries, in memory")
+)
 
 // TestProofAddresses asks queries of all classes of nodes that are each reached
 // by IPv4, IPv6 and a Unix socket, in frames and in Flight, while one way at a
@@ -40,7 +47,7 @@
 		nodes, list, ways = append(nodes, n), append(list, e), append(ways, three)
 	}
 	disco := testkit.NewDiscovery(t, list...)
-	cfg, err := config.Parse(testkit.Config(disco.Addr, list, testkit.Settings(nil), nil), func(string) string { return "" })
+	cfg, err := config.Parse(testkit.Config(disco.Addr, list, testkit.Settings(nil), accounts()), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,6 +57,7 @@
 	}
 	classes := []string{"screen", "edit", "order", "part"}
 	kinds := map[string]int{}
+	var shown []string // ids of queries whose accounts are wanted
 	type asked struct {
 		began time.Time
 		took  time.Duration
@@ -69,7 +77,11 @@
 					mu.Lock()
 					kinds[name+" "+r.Kind]++
 					if r.Kind == "none" {
-						t.Logf("%s %s: no answer after %v: %v", name, q.ID, r.Took, r.Err)
+						t.Logf("%s %s: no answer after %v: %s: %v; %s", name, q.ID, r.Took, r.Loss, r.Err, r.Path)
+					}
+					if strings.Contains(*proofShow, r.Kind) {
+						t.Logf("%s %s: %s after %v", name, q.ID, r.Kind, r.Took)
+						shown = append(shown, q.ID)
 					}
 					if r.Kind == "served" {
 						all = append(all, asked{began, r.Took})
@@ -86,7 +98,7 @@
 	var turns []time.Time // when a way was turned bad
 	go func() {
 		defer close(stopped)
-		rng := rand.New(rand.NewPCG(3, 8))
+		rng := rand.New(rand.NewPCG(*proofSeed, 8))
 		modes := []string{testkit.Refuse, testkit.Stall, testkit.ResetHalf, testkit.ResetFull}
 		faulty := make([]*testkit.Way, len(ways))
 		tick := time.NewTicker(60 * time.Millisecond)
@@ -112,6 +124,9 @@
 	if err := d.Stop(context.Background()); err != nil {
 		t.Fatal(err)
 	}
+	for _, id := range shown {
+		t.Logf("the broker's account of %s:\n%s", id, account(t, d, id))
+	}
 	// A part of an order may run once; one of an edit again within its window.
 	ran := map[string][]time.Time{}
 	for _, n := range nodes {
@@ -166,3 +181,34 @@
 	fmt.Printf("proof: addresses twice-run %d outside allowance, fallback p99 %.1f ms over baseline, lost %d\n",
 		twice, float64(over)/float64(time.Millisecond), lost)
 }
+
+// accounts has a broker keep traces of all queries that end badly.
+func accounts() map[string]any {
+	if !*proofTraced {
+		return nil
+	}
+	return map[string]any{"tracing": map[string]any{"budget_per_s": 10_000, "memory_kb": 64 << 10}}
+}
+
+// account is what the broker says of one query: when it was read, each attempt with its
+// address, and how it was answered.
+func account(t *testing.T, d *daemon.Daemon, id string) string {
+	t.Helper()
+	if !*proofTraced {
+		return "none was kept"
+	}
+	traces, err := d.Traces(record.Filter{ID: id})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	for _, trace := range traces {
+		if err := view.Show(&text, trace); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(traces) == 0 {
+		return "none: it was never read, or it ended well"
+	}
+	return text.String()
+}
--- a/internal/testkit/rig.go
+++ b/internal/testkit/rig.go
@@ -1,10 +1,7 @@
 package testkit
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,16 +11,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/apache/arrow-go/v18/arrow/flight"
-	"google.golang.org/genproto/googleapis/rpc/errdetails"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/metadata"
-	"google.golang.org/grpc/status"
-
-	"onyxsail/internal/flightwire"
 )
 
 // patience is how long a test waits for what must come; only a failing test
@@ -225,146 +212,6 @@
 	return Entry{ID: n.ID, Addr: n.Addr, Addrs: n.Addrs, Zone: "neihu", Kind: "std-2c", Cell: n.Cell, State: "in_service", Weight: 1}
 }
 
-// ---- Clients
-
-// Query is what a client asks.
-type Query struct {
-	Class, ID, Key string
-	Shards         []int
-	Within         time.Duration
-	Traceparent    []string // each as a header of its own
-	Tracestate     string
-}
-
-// Reply is what a client got.
-type Reply struct {
-	Err        error  // with Kind none: why there is no answer
-	Kind       string // served, refused, failed, expired, invalid or none
-	Whole      bool
-	Values     map[int]string
-	RetryAfter time.Duration
-	Took       time.Duration
-}
-
-func (q *Query) body() map[string]any {
-	targets := []map[string]any{}
-	for _, s := range q.Shards {
-		targets = append(targets, map[string]any{"partition": s, "share": 1 / float64(len(q.Shards)), "est_us": 9000})
-	}
-	return map[string]any{"targets": targets, "query": "c41e77d0"}
-}
-
-// AskHTTP asks on the platform's protocol.
-func AskHTTP(ctx context.Context, addr string, q Query) Reply {
-	body, err := json.Marshal(q.body())
-	if err != nil {
-		panic(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, q.Within)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+q.Class, bytes.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	req.Header.Set("X-Request-Id", q.ID)
-	req.Header.Set("X-Class", q.Class)
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.Within.Milliseconds(), 10))
-	if q.Key != "" {
-		req.Header.Set("Idempotency-Key", q.Key)
-	}
-	req.Header["Traceparent"] = q.Traceparent
-	if q.Tracestate != "" {
-		req.Header.Set("Tracestate", q.Tracestate)
-	}
-	start := time.Now()
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return Reply{Kind: "none", Err: err, Took: time.Since(start)}
-	}
-	defer res.Body.Close()
-	r := Reply{Kind: "failed", Values: map[int]string{}}
-	switch res.StatusCode {
-	case http.StatusOK:
-		var a struct {
-			Whole   bool
-			Results []struct {
-				Partition int
-				Value     string
-			}
-		}
-		if json.NewDecoder(res.Body).Decode(&a) != nil {
-			return Reply{Kind: "none"}
-		}
-		r.Kind, r.Whole = "served", a.Whole
-		for _, x := range a.Results {
-			r.Values[x.Partition] = x.Value
-		}
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		r.Kind = "refused"
-		if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
-			r.RetryAfter = time.Duration(s * float64(time.Second))
-		}
-	case http.StatusGatewayTimeout:
-		r.Kind = "expired"
-	case http.StatusBadRequest, http.StatusNotFound:
-		r.Kind = "invalid"
-	}
-	r.Took = time.Since(start)
-	return r
-}
-
-// AskFlight asks in Arrow Flight.
-func AskFlight(ctx context.Context, addr string, q Query) Reply {
-	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		panic(err)
-	}
-	defer conn.Close()
-	body := q.body()
-	body["id"], body["class"], body["key"] = q.ID, q.Class, q.Key
-	ticket, err := json.Marshal(body)
-	if err != nil {
-		panic(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, q.Within)
-	defer cancel()
-	for _, p := range q.Traceparent {
-		ctx = metadata.AppendToOutgoingContext(ctx, "traceparent", p)
-	}
-	if q.Tracestate != "" {
-		ctx = metadata.AppendToOutgoingContext(ctx, "tracestate", q.Tracestate)
-	}
-	start := time.Now()
-	r := Reply{Values: map[int]string{}}
-	stream, err := flight.NewClientFromConn(conn, nil).DoGet(ctx, &flight.Ticket{Ticket: ticket})
-	if err == nil {
-		whole, values, rerr := flightwire.ReadValues(stream)
-		err, r.Whole = rerr, whole
-		for _, v := range values {
-			r.Values[v.Shard] = string(v.Data)
-		}
-	}
-	r.Took = time.Since(start)
-	var s interface{ GRPCStatus() *status.Status }
-	switch {
-	case err == nil:
-		r.Kind = "served"
-	case ctx.Err() != nil || !errors.As(err, &s):
-		r.Kind = "none"
-	default:
-		r.Kind = map[codes.Code]string{
-			codes.Unavailable: "refused", codes.Aborted: "failed", codes.DeadlineExceeded: "expired",
-			codes.InvalidArgument: "invalid", codes.NotFound: "invalid",
-		}[s.GRPCStatus().Code()]
-		for _, d := range s.GRPCStatus().Details() {
-			if info, ok := d.(*errdetails.RetryInfo); ok {
-				r.RetryAfter = info.GetRetryDelay().AsDuration()
-			}
-		}
-	}
-	return r
-}
-
 // ---- Configuration
 
 // Settings are those of a small deployment in which each node holds all
