Give up what lasts until its time is over 50 ms before the deadline, not 10

Cause: decide.settle ended it endTicks turns, 10 ms, before a deadline that counts from the reading; the reading, the turn, the write and the client's own turn did not fit into that. Change: query.giveUp, 50 ms or a twentieth of the time before the deadline, two turns at least; the core's word for time that is over goes by the same.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -634,7 +634,7 @@
 	case decide.Refuse:
 		r.Verdict, r.RetryAfter = Refused, duration(a.Ms)
 	case decide.Abort:
-		if now.Sub(q.Came) >= q.Budget-lateTimer {
+		if c.outOfTime(q, now) {
 			r.Verdict = Expired
 		}
 	}
@@ -642,6 +642,12 @@
 	c.finish(q, r, now)
 }
 
+// outOfTime says whether a query's time is over, less the reserve that the module keeps.
+func (c *Core) outOfTime(q *query, now time.Time) bool {
+	budgetMs := float64(q.Budget.Microseconds()) / 1000
+	return now.Sub(q.Came) >= duration(c.opts.Settings.GivenUpAfter(budgetMs))-lateTimer
+}
+
 // shareSlack is how much the parts' shares may fall short of a sum, as they are rounded.
 const shareSlack = 1e-4
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,7 @@
 	askFirstMs = 100   // first pause before asking for the list again; doubles, with jitter
 	calmRise   = 0.05  // the calm level is relearned upwards by this share at each look at p
 	sweepTicks = 4     // ticks between looks at what is open
-	endTicks   = 2     // ticks kept between the final answer and the client's deadline
+	endTicks   = 2     // ticks kept between the final answer and the end of a query's use, at least
 	fetchTimes = 2     // usual second steps' times, or typical latencies, kept for a second step
 )
 
@@ -92,6 +92,7 @@
 	came, predicted               float64
 	id                            uint64
 	number, aim, end, weight      float64 // weight: of the parts that are in
+	giveUp                        float64 // when it is given up for want of time
 	class, answered, left         int     // left: parts still out at the fork; 0: no fork
 	parts                         []*part
 	trials, broken                int  // parts first sent to replicas in doubt; under which a replica died
@@ -249,6 +250,7 @@
 		if c.LateShare == 0 { // past the aim nothing is earned: end there
 			q.end = min(q.end, q.aim)
 		}
+		q.giveUp = min(r.now+r.s.GivenUpAfter(e.LeftMs), q.end-endTicks*r.s.TickMs)
 		r.byNumber[q.number], r.fresh = q, append(r.fresh, q)
 	case PartCame:
 		r.taken = append(r.taken, r.now)
@@ -637,7 +639,7 @@
 	p.tries, h.out, a.load = append(p.tries, a), append(h.out, a), float64(len(h.out)+1)
 	h.trialAt, h.mayTake = r.now+r.trialGap(), h.mayTake-1 // the latter counts while it is cold
 	r.sent.add(r.now)
-	ms := max(r.s.TickMs, p.q.end-endTicks*r.s.TickMs-r.now)
+	ms := max(r.s.TickMs, p.q.giveUp-r.now)
 	r.do(Action{Kind: Send, ID: p.id, Addr: h.Addr, Ms: ms, Doubt: r.doubted(h)})
 }
 
@@ -832,11 +834,11 @@
 		// Once some end late, means are scaled by how those took, by more where what we know is old. This fades.
 		slip := c.slip * (1 + c.late*min(1, r.gap/(fade*r.calm+1)))
 		ms *= 1 + min(1, c.late/lateMost)*(slip-1)*math.Exp(-(r.now-c.slipAt)/r.memory)
-		if ms > room || q.end-r.now <= 2*endTicks*r.s.TickMs {
+		if ms > room || q.giveUp-r.now <= endTicks*r.s.TickMs {
 			r.refuse(q, ms-room)
 			return
 		}
-		r.do(Action{Kind: Timer, Ms: q.end - r.now - endTicks*r.s.TickMs})
+		r.do(Action{Kind: Timer, Ms: q.giveUp - r.now})
 		q.wary = r.now < max(r.waryTo, c.waryTo) || q.again
 	}
 	q.left = int(c.p*k + r.rng.Float64())
@@ -877,7 +879,7 @@
 			hope += p.weight
 		}
 	}
-	late := r.now >= q.end-endTicks*r.s.TickMs || q.deadly()
+	late := r.now >= q.giveUp || q.deadly()
 	if q.deadly() {
 		c.waryTo = r.now + warySpan*r.aim
 	}
