Share a cold node's budget among the processes of one broker

Cause: coldRoom goes by the answers that a root remembers: the process before by all of the broker's, the next one by its own half. Change: the count of processes that halves the other limits goes by broker.Limits to Root.Beside.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -295,6 +295,7 @@
 	case inLimits:
 		c.opts.Limits = in.limits
 		c.queue.setLimit(in.limits.QueueLimit)
+		c.root.Beside(in.limits.Processes)
 	}
 }
 
--- a/broker/types.go
+++ b/broker/types.go
@@ -176,4 +176,7 @@
 	QueueLimit int
 	// MaxOpen bounds queries and parts held at once; 0: unlimited.
 	MaxOpen int
+	// Processes of this broker that run, this one included: together they keep to what one
+	// may send a node in slow start. 0 counts as 1.
+	Processes int
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,7 +91,8 @@
 	mu     sync.Mutex    // guards cfg, what follows, and limits that two sides set
 	over   bool          // Stop has begun
 	limits broker.Limits // of the whole broker, as its two sides have set them
-	shared bool          // another process runs beside this one and has half of them
+	// processes of this broker run, this one included; 0: this one alone, since its start.
+	processes int
 }
 
 // TuneRuntime fits the Go runtime to the platform's limits: it is called once
--- a/daemon/takeover.go
+++ b/daemon/takeover.go
@@ -26,7 +26,19 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.changed = f
-	f(n.before || n.next)
+	f(n.processes() > 1)
+}
+
+// processes is how many of this broker this one knows to run, itself included; n.mu is held.
+func (n *neighbours) processes() int {
+	count := 1
+	if n.before {
+		count++
+	}
+	if n.next {
+		count++
+	}
+	return count
 }
 
 // neighbour notes a change, and shares the descriptors anew.
@@ -35,7 +47,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	change(n)
-	beside := n.before || n.next
+	processes := n.processes()
+	beside := processes > 1
 	clients, frames := d.clients, d.frames
 	if beside {
 		clients, frames = max(1, clients/2), max(1, frames/2)
@@ -43,7 +56,7 @@
 	d.front.SetMaxConns(clients)
 	d.nodes.SetMaxConns(frames)
 	d.mu.Lock()
-	d.shared = beside
+	d.processes = processes
 	d.applyLimits()
 	d.mu.Unlock()
 	if n.changed != nil {
@@ -54,7 +67,8 @@
 // applyLimits tells the core its limits; d.mu is held.
 func (d *Daemon) applyLimits() {
 	limits := d.limits
-	if d.shared && limits.MaxOpen > 0 {
+	limits.Processes = d.processes
+	if d.processes > 1 && limits.MaxOpen > 0 {
 		limits.MaxOpen = max(1, limits.MaxOpen/2)
 	}
 	d.core.SetLimits(limits)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -148,6 +148,7 @@
 	now             float64
 	stalled, absent float64 // how long this root stood still before this turn, and in all
 	turn            uint64
+	processes       int // of this root's broker that run, this one included
 	out             []Action
 	replicas        map[Addr]*replica
 	groups          map[[2]int]*group // by zone and kind
@@ -179,7 +180,7 @@
 		s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		replicas: map[Addr]*replica{}, groups: map[[2]int]*group{}, parts: map[uint64]*part{},
 		byNumber: map[float64]*query{}, cells: make([][]*replica, s.Cells), tenants: make([]flow, len(s.Tenants)),
-		askGap: askFirstMs, askAt: math.Inf(-1), sweepAt: math.Inf(-1),
+		askGap: askFirstMs, askAt: math.Inf(-1), sweepAt: math.Inf(-1), processes: 1,
 	}
 	for _, c := range s.Classes {
 		r.addClass(c)
@@ -618,7 +619,7 @@
 	if r.joins(h) || !r.cold(h) {
 		return true
 	}
-	may := coldShare * r.s.FallTimes * r.warmth(h) * r.borne / max(1, r.units)
+	may := coldShare * r.s.FallTimes * r.warmth(h) * r.borne / max(1, r.units) / float64(r.processes)
 	if h.filledAt < h.told { // what it was sent before is not ours to know, or was sent as to a warm one
 		size := (float64(r.s.BundleMax) + r.sent.value(r.now)) / (1 + r.called.value(r.now)) // of a call
 		h.filledAt, h.mayTake = h.told, 1-size*r.rng.Float64()
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -22,4 +22,4 @@
 
 // Beside says how many processes of this root's broker run, itself included: each of them
 // may send a replica in slow start its part of what the broker may.
-func (r *Root) Beside(processes int) {}
+func (r *Root) Beside(processes int) { r.processes = max(1, processes) }
