--- a/cli/upgrade_test.go
+++ b/cli/upgrade_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -141,6 +142,36 @@
 	second.stop(t)
 }
 
+// A broker is started by mistake at the address of another one, with another name and other
+// classes. Since the address is shared it was not refused: it was given the other one's
+// listening socket and, once it was ready, every other client, whose class it did not know.
+// It ends with an error that names the field and the broker that runs there.
+func TestAnotherBrokerAtATakenAddressIsRefused(t *testing.T) {
+	d := deploy(t, testkit.Settings(nil), nil)
+	first, _ := d.run()
+	other := testkit.Edit(t, d.cfg, func(file map[string]any) {
+		file["name"] = "n2"
+		file["settings"].(map[string]any)["classes"].([]any)[0].(map[string]any)["name"] = "prices"
+	})
+	mistaken := start(t, other, d.listen, "TMPDIR="+d.folder, "NODE_CONSOLE="+freeAddr(t))
+	ended := make(chan error, 1)
+	go func() { ended <- mistaken.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if text := mistaken.text(); err == nil || !strings.Contains(text, `listen: the broker "n1" runs at `+d.listen) {
+			t.Errorf("%v, %s", err, text)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("it runs on beside the other broker")
+		_ = mistaken.cmd.Process.Kill()
+		<-ended
+	}
+	for i := range 20 {
+		d.serves(fmt.Sprint("q", i))
+	}
+	first.stop(t)
+}
+
 // Calls of operators, signals and reloads in any order: none hangs, what is taken is
 // answered, and SIGTERM ends the process through a drain.
 func TestOperatorsAndSignalsAtOnce(t *testing.T) {
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -284,6 +284,24 @@
 	s.wait(t, 1, decide.Broken)
 }
 
+// A part's frame has been taken by our system and not by the node, whose link is cut or which
+// reads nothing. Its client leaves. Our system goes on to send the frame: it used to begin
+// whenever the node's system took bytes again, however long after, though an attempt that
+// begins 0.1 s after its client has left is a lost request (row 30 of the audit).
+func TestUndeliveredPartDoesNotBegin(t *testing.T) {
+	c, s, peer, cn := jammedNode(t)
+	big := attempt(2)
+	big.Text = []byte(strings.Repeat("x", 512<<10)) // more than a system takes that nobody reads from, less than ours holds
+	c.send("n", big)
+	testkit.Eventually(t, "our system has all", func() bool { return cn.sock.Backlog() == 0 })
+	c.Cancel("n", big.ID)
+	time.Sleep(100 * time.Millisecond) // the term's own bound
+	if got, err := io.CopyN(io.Discard, peer, int64(len(big.Text))); err == nil {
+		t.Errorf("the node got all %d bytes of a part whose client had left", got)
+	}
+	s.wait(t, 1, decide.Broken)
+}
+
 func TestPool(t *testing.T) {
 	c, s := client(t, 2, 200*time.Millisecond)
 	n := testkit.NewNode(t, "n", false)
--- a/tracing/tracer_test.go
+++ b/tracing/tracer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -241,6 +242,65 @@
 	tr.Close(context.Background())
 }
 
+// A disk is full while a query ends badly, and has room again a second later. Its trace used to
+// be counted as dropped and kept in memory alone: it was gone with the process, though it had
+// been taken on (row 141 of the audit). It is written as soon as the disk takes it, before
+// what came later; over the bound of bytes the oldest go.
+func TestFullDiskIsOwedItsTraces(t *testing.T) {
+	full := true
+	write := func(f *os.File, b []byte) (int, error) {
+		if full {
+			return 0, &os.PathError{Op: "write", Path: f.Name(), Err: unix.ENOSPC}
+		}
+		return f.Write(b)
+	}
+	dir := t.TempDir()
+	tr := begin(t, Config{Dir: dir, MemoryKB: 64}, io.Discard, write)
+	at := tr.start
+	ended := func(id int) {
+		tr.Taken(broker.QueryID(id), query(fmt.Sprintf("q%d", id), at), at)
+		tr.Final(broker.QueryID(id), &broker.Reply{Verdict: broker.Failed}, at.Add(time.Second))
+		tr.collect(true)
+	}
+	ended(1)
+	ended(2)
+	if n := tr.Counts().Spool.Dropped; n[spool.DropFailed]+n[spool.DropPaused] != 2 {
+		t.Errorf("counted as not written: %v, want 2", n)
+	}
+	full = false
+	tr.start = tr.start.Add(-backMost) // the pause after a failure is over
+	ended(3)
+	onDisk := func() (names []string) {
+		traces, bad, err := ReadDir(dir, record.Filter{})
+		if err != nil || len(bad) > 0 {
+			t.Fatal(err, bad)
+		}
+		for _, x := range traces {
+			names = append(names, x.Query)
+		}
+		return names
+	}
+	if got := onDisk(); !slices.Equal(got, []string{"q1", "q2", "q3"}) {
+		t.Errorf("on disk: %v", got)
+	}
+	if c := tr.Counts().Spool; c.Written != 3 || len(c.Dropped) > 0 {
+		t.Errorf("counted: %+v", c)
+	}
+	full = true
+	for id := 4; id < 400; id++ {
+		ended(id)
+		if bytes := tr.Counts().Bytes; bytes > 64<<10 {
+			t.Fatalf("%d bytes held", bytes)
+		}
+	}
+	full = false
+	tr.start = tr.start.Add(-backMost)
+	tr.Close(context.Background()) // the last chance
+	if got := onDisk(); len(got) < 20 || got[len(got)-1] != "q399" {
+		t.Errorf("on disk at the end: %d, the last %v", len(got), got[len(got)-1:])
+	}
+}
+
 // What was open when a tracer vanished is reported once by the next, also when
 // that one cannot write at first and vanishes too.
 func TestInterruptedIsCarried(t *testing.T) {
