--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -336,6 +336,30 @@
 	}
 }
 
+// Abort ends the connection at once, as Close does, by a reset: the other side does not get
+// what it has not got yet.
+func (c *Conn) Abort() {
+	_ = c.control(func(fd uintptr) { // fails where it is closed already
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	c.Close()
+}
+
+// Unconfirmed is how many bytes that the system has taken the other side's system has not
+// confirmed; 0 where it does not tell.
+func (c *Conn) Unconfirmed() int64 {
+	unconfirmed := 0
+	err := c.control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unconfirmed = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return int64(unconfirmed)
+}
+
 // AfterFlush calls f from the loop's hand once all that was queued has left.
 func (c *Conn) AfterFlush(f func()) {
 	c.onFlush.Store(&f)
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -318,10 +318,10 @@
 		return
 	}
 	if cn.begins(cl) {
-		cn.ours = true
-		cn.sock.Close()
+		cn.hangUp()
 		return
 	}
+	cn.watchDelivery(cl)
 	cn.used = time.Now()
 	if len(cn.calls) == 0 && !cn.silent(cn.used) {
 		cn.waiting = time.Time{} // the node may answer nothing more, rightly
--- a/nodeclient/conn.go
+++ b/nodeclient/conn.go
@@ -226,8 +226,7 @@
 		cn.c.mu.Lock()
 		defer cn.c.mu.Unlock()
 		if !cn.gone && cn.sock.Written() < end {
-			cn.ours = true
-			cn.sock.Close()
+			cn.hangUp()
 		}
 	})
 }
@@ -327,8 +326,7 @@
 // given outcome and the others as called off; all of it may have run.
 func (cn *conn) drop(outcome decide.Outcome) {
 	written := cn.sock.Written()
-	cn.ours = true
-	cn.sock.Close()
+	cn.hangUp()
 	for id, cl := range cn.calls {
 		if cl.end == 0 || cl.end > written {
 			continue // never whole at the node: Closed tells it so
@@ -475,7 +473,6 @@
 	old := !cn.leads() || !cn.node.listed || idle > 0 && now.Sub(cn.used) > idle ||
 		len(cn.abandoned) >= maxAbandoned
 	if !cn.stuck.IsZero() && now.Sub(cn.stuck) > cn.c.frame+stuckFor-frameWithin || cn.idle() && old {
-		cn.ours = true
-		cn.sock.Close()
+		cn.hangUp()
 	}
 }
