Write traces that met a full disk once it has room

Symptom: TestFullDiskIsOwedItsTraces, row 141: 1 of 3 traces on disk. Cause: Tracer.collect offered each record once and dropped the outcome. Measured: the test and all of tracing pass.

--- a/tracing/read.go
+++ b/tracing/read.go
@@ -133,7 +133,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := Counts{
-		Open: t.open.n, Held: len(t.held), Recent: len(t.recent.traces), Bytes: t.recent.bytes,
+		Open: t.open.n, Held: len(t.held), Recent: len(t.recent.traces), Bytes: t.recent.bytes + t.owing,
 		Sampled: t.sampler.Counts(), Unseen: t.unseen, Late: t.noted, Following: len(t.follow), Unfollowed: t.missed,
 	}
 	t.open.each(func(l *live) { c.Bytes += l.Size() })
--- a/tracing/spool/spool.go
+++ b/tracing/spool/spool.go
@@ -168,15 +168,25 @@
 
 // Append writes one record, or drops it and counts why.
 func (s *Spool) Append(k Kind, payload []byte) Cause {
-	cause := s.append(k, payload)
+	cause := s.Offer(k, payload)
 	if cause != DropNone {
-		s.dropped[cause]++
-	} else {
+		s.GiveUp(cause)
+	}
+	return cause
+}
+
+// Offer writes one record, or says why not; the caller keeps it then, or gives it up.
+func (s *Spool) Offer(k Kind, payload []byte) Cause {
+	cause := s.append(k, payload)
+	if cause == DropNone {
 		s.written++
 	}
 	return cause
 }
 
+// GiveUp counts a record that was offered and is dropped.
+func (s *Spool) GiveUp(cause Cause) { s.dropped[cause]++ }
+
 func (s *Spool) append(k Kind, payload []byte) Cause {
 	if s.lock == nil {
 		return DropClosed
--- a/tracing/tracer.go
+++ b/tracing/tracer.go
@@ -35,6 +35,8 @@
 	maxOpen   = 1 << 14
 	maxSpare  = 64 // traces that are kept for use again
 	maxFollow = 256
+	// owedEvery is how often what a disk has not taken is tried again while no trace comes.
+	owedEvery = time.Second
 )
 
 // Class is what the tracer needs of a class, by its index.
@@ -86,6 +88,7 @@
 	done  sync.WaitGroup
 
 	spool    *spool.Spool     // the goroutine's; nil: none
+	owed     owed             // the goroutine's: what the spool's disk has not taken
 	exporter *export.Exporter // nil: none
 
 	mu      sync.Mutex
@@ -104,6 +107,7 @@
 	unseen  int64 // queries that were not followed
 	noted   int64 // late outcomes
 	spooled spool.Counts
+	owing   int // bytes of what is owed
 	follow  map[chan *record.Trace]bool
 	missed  int64 // traces that a reader who follows was too slow for
 	lost    bool  // the loss of the table is in the log
@@ -127,7 +131,9 @@
 			Slow: c.SlowQuantile, SlowLeast: 200, Seed: binary.LittleEndian.Uint64(seed[:]),
 		}),
 	}
-	if c.Dir != "" {
+	if c.Dir != "" { // what its disk does not take shares the room of the recent ones
+		t.recent.most /= 2
+		t.owed.most = t.recent.most
 		t.openSpool()
 	}
 	if c.OTLP != nil {
@@ -246,10 +252,13 @@
 		at, held := t.sampler.Next()
 		held = held || len(t.notes) > 0
 		t.mu.Unlock()
-		if held {
+		switch {
+		case held:
 			timer.Reset(max(time.Millisecond, at-t.now()))
-			armed = true
+		case len(t.owed.records) > 0:
+			timer.Reset(owedEvery)
 		}
+		armed = held
 	}
 }
 
@@ -301,28 +310,22 @@
 	}
 	t.mu.Unlock()
 
-	for _, tr := range traces {
-		if t.spool != nil {
-			t.write(tr)
-		}
-		if t.exporter != nil {
+	if t.exporter != nil {
+		for _, tr := range traces {
 			t.exporter.Put(tr)
 		}
 	}
+	before := len(t.owed.records)
 	if t.spool != nil {
-		for _, n := range notes {
-			if data, err := spool.EncodeNote(n); err == nil {
-				t.spool.Append(spool.KindNote, data)
-			}
-		}
+		t.store(traces, notes)
 	}
-	if len(traces)+len(notes) == 0 {
+	if len(traces)+len(notes)+before == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.spool != nil {
-		t.spooled = t.spool.Counts()
+		t.spooled, t.owing = t.spoolCounts(), t.owed.bytes
 	}
 	if t.table != nil {
 		for _, slot := range slots {
