End a start at another broker's address with an error

Symptom: TestAnotherBrokerAtATakenAddressIsRefused: since a broker of another name, started by mistake at a taken address, was handed the socket and took half of the clients. Cause: the takeover's first message named no broker. Change: it does, and daemon.join fails with a TakenError where the names differ.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,10 +211,13 @@
 	var run, wait context.Context
 	run, d.stop = context.WithCancel(context.Background())
 	wait, d.cancel = context.WithCancel(context.Background())
-	d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
-		Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
-		MaxConns: clients, Listener: d.join(), Trace: cfg.Tracing != nil, Log: log,
-	})
+	socket, err := d.join()
+	if err == nil {
+		d.front, err = httpfront.Listen(cfg.Listen, httpfront.Options{
+			Core: d.core, Loop: loop, Classes: classes(cfg), Shards: cfg.Settings.Shards,
+			MaxConns: clients, Listener: socket, Trace: cfg.Tracing != nil, Log: log,
+		})
+	}
 	if err == nil && cfg.Flight != nil {
 		d.flight, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
 			Core: d.core, Classes: classes(cfg), Shards: cfg.Settings.Shards, MaxConns: sockets / 8, Log: log,
--- a/daemon/takeover.go
+++ b/daemon/takeover.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -79,20 +81,34 @@
 
 // join looks for a process whose place this one is to take, and returns its listening
 // socket; nil where there is none. A process that cannot be joined stops no start: this
-// one then listens for itself.
-func (d *Daemon) join() *net.TCPListener {
+// one then listens for itself. One of another broker does: each client would get either.
+func (d *Daemon) join() (*net.TCPListener, error) {
 	if !replaceable(d.cfg) {
-		return nil
+		return nil, nil
 	}
 	before, err := takeover.Join(os.TempDir(), d.cfg.Listen)
 	if err != nil {
 		d.log.Warn().Str("event", "takeover").Err(err).Msg("the running process cannot be joined")
 	}
 	if before == nil {
-		return nil
+		return nil, nil
+	}
+	if before.Name != "" && before.Name != d.cfg.Name {
+		before.Close()
+		return nil, errors.Join(before.Listener.Close(), &TakenError{Addr: d.cfg.Listen, Broker: before.Name, Own: d.cfg.Name})
 	}
 	d.before = before
-	return before.Listener
+	return before.Listener, nil
+}
+
+// TakenError says that another broker runs at the address for clients.
+type TakenError struct {
+	Addr        string
+	Broker, Own string // the names of that broker and of this one
+}
+
+func (e *TakenError) Error() string {
+	return fmt.Sprintf("listen: the broker %q runs at %s, and this one is %q", e.Broker, e.Addr, e.Own)
 }
 
 // followBefore keeps to half of the limits until the process before has ended.
@@ -132,7 +148,7 @@
 		return
 	}
 	host, err := takeover.NewHost(takeover.HostOptions{
-		Dir: os.TempDir(), Addr: d.cfg.Listen, Listener: d.front.Listener(), Neighbour: d, Log: d.log,
+		Dir: os.TempDir(), Addr: d.cfg.Listen, Name: d.cfg.Name, Listener: d.front.Listener(), Neighbour: d, Log: d.log,
 	})
 	if err != nil {
 		d.log.Warn().Str("event", "takeover").Err(err).Msg("no process can take this one's place without a gap")
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -31,8 +31,9 @@
 
 // message is one packet between the two processes.
 type message struct {
-	Version int  `json:"version"`
-	Ready   bool `json:"ready,omitempty"` // the second process takes clients
+	Version int    `json:"version"`
+	Name    string `json:"name,omitempty"`  // with the socket: the broker's
+	Ready   bool   `json:"ready,omitempty"` // the second process takes clients
 }
 
 // place is a socket's path, kept short enough for an address however deep its folder lies:
@@ -59,9 +60,11 @@
 type Predecessor struct {
 	// Listener is the clients' listening socket, which both processes have.
 	Listener *net.TCPListener
-	conn     *net.UnixConn
-	known    chan struct{} // closed once the process before knows that this one takes clients
-	ended    chan struct{} // closed once it has ended
+	// Name is that of its broker; "" where it does not tell.
+	Name  string
+	conn  *net.UnixConn
+	known chan struct{} // closed once the process before knows that this one takes clients
+	ended chan struct{} // closed once it has ended
 }
 
 // Join connects to the broker that runs at addr and shares the folder. Without an error and
@@ -79,15 +82,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("joining the running process: %w", err)
 	}
-	var listener *net.TCPListener
+	own := &Predecessor{conn: conn, known: make(chan struct{}), ended: make(chan struct{})}
 	if err = sameUser(conn); err == nil {
-		listener, err = hello(conn)
+		own.Listener, own.Name, err = hello(conn)
 	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("joining the running process: %w", err)
 	}
-	own := &Predecessor{Listener: listener, conn: conn, known: make(chan struct{}), ended: make(chan struct{})}
 	go own.follow() // until the connection ends
 	return own, nil
 }
@@ -120,19 +122,19 @@
 	return err
 }
 
-// hello reads the first message, which carries the socket.
-func hello(conn *net.UnixConn) (*net.TCPListener, error) {
+// hello reads the first message, which carries the socket and the broker's name.
+func hello(conn *net.UnixConn) (socket *net.TCPListener, name string, err error) {
 	if err := conn.SetReadDeadline(time.Now().Add(helloWithin)); err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	text, rights := make([]byte, maxMessage), make([]byte, unix.CmsgSpace(4))
 	n, nr, _, _, err := conn.ReadMsgUnix(text, rights)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	files, err := filesOf(rights[:nr])
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	defer func() {
 		for _, f := range files {
@@ -141,18 +143,18 @@
 	}()
 	var m message
 	if err := json.Unmarshal(text[:n], &m); err != nil || m.Version != version || len(files) != 1 {
-		return nil, fmt.Errorf("got %.80q and %d sockets, want version %d and one", text[:n], len(files), version)
+		return nil, "", fmt.Errorf("got %.80q and %d sockets, want version %d and one", text[:n], len(files), version)
 	}
 	l, err := net.FileListener(files[0])
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	own, ok := l.(*net.TCPListener)
 	if !ok {
 		_ = l.Close()
-		return nil, fmt.Errorf("the socket listens at %v, want TCP", l.Addr())
+		return nil, "", fmt.Errorf("the socket listens at %v, want TCP", l.Addr())
 	}
-	return own, conn.SetReadDeadline(time.Time{})
+	return own, m.Name, conn.SetReadDeadline(time.Time{})
 }
 
 // filesOf takes the descriptors out of a control message.
@@ -252,6 +254,7 @@
 type HostOptions struct {
 	Dir       string // a folder that both processes have
 	Addr      string // where the broker listens for clients
+	Name      string // the broker's
 	Listener  *net.TCPListener
 	Neighbour Neighbour
 	Log       zerolog.Logger
@@ -357,7 +360,7 @@
 		return err
 	}
 	defer f.Close()
-	return send(conn, message{Version: version}, unix.UnixRights(int(f.Fd())))
+	return send(conn, message{Version: version, Name: h.opts.Name}, unix.UnixRights(int(f.Fd())))
 }
 
 // Succeeded says whether a next process has the socket and takes clients.
