Keep the ports of the tests' ways while they refuse; test strangers at an address

A way that refuses closed its listener, and another process could get its port of 127.0.0.1 meanwhile: the way then stayed refused in silence, and a broker under test met whoever answered there. A second, bound socket keeps the port; where a way can't be opened again the test fails. What a broker makes of a web server, an echo, a Flight server or an end at a node's address: no answer, each part has its outcome (TestStrangerAtANodesAddress). It is no cause of the lost query.

--- a/internal/testkit/way.go
+++ b/internal/testkit/way.go
@@ -1,9 +1,14 @@
 package testkit
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 // The modes of a Way.
@@ -19,8 +24,10 @@
 type Way struct {
 	Addr string // in the list's form
 
+	t               testing.TB
 	network, at, to string
 	scheme          string
+	kept            int // a bound socket that keeps the port while nobody listens; -1: none
 	mu              sync.Mutex
 	mode            string
 	listener        net.Listener
@@ -30,13 +37,23 @@
 // NewWayTo opens a way at a network address ("tcp" or "unix") to any address.
 func NewWayTo(t testing.TB, network, addr, to string) *Way {
 	t.Helper()
-	w := &Way{network: network, at: addr, to: to, mode: Pass, conns: map[net.Conn]net.Conn{}}
+	w := &Way{t: t, network: network, at: addr, to: to, kept: -1, mode: Pass, conns: map[net.Conn]net.Conn{}}
 	if err := w.open(); err != nil {
 		t.Fatal(err)
 	}
 	w.at = w.listener.Addr().String() // the port stays the same over faults
 	w.Addr = w.at
-	t.Cleanup(func() { w.Set(Refuse) })
+	if l, ok := w.listener.(*net.TCPListener); ok {
+		if err := w.keepPort(l.Addr().(*net.TCPAddr)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(func() {
+		w.Set(Refuse)
+		if w.kept >= 0 {
+			_ = unix.Close(w.kept)
+		}
+	})
 	return w
 }
 
@@ -55,8 +72,45 @@
 	return w
 }
 
+// keepPort binds a further socket to the way's port, at which it never listens: who connects
+// while the way refuses is refused, and no other process gets the port meanwhile. Another
+// test's node or broker would answer there.
+func (w *Way) keepPort(at *net.TCPAddr) error {
+	family, name := unix.AF_INET, unix.Sockaddr(&unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To16()[12:])})
+	if at.IP.To4() == nil {
+		family, name = unix.AF_INET6, &unix.SockaddrInet6{Port: at.Port, Addr: [16]byte(at.IP)}
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("keeping a way's port: %w", err)
+	}
+	w.kept = fd
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		return fmt.Errorf("keeping a way's port: %w", err)
+	}
+	if err := unix.Bind(fd, name); err != nil {
+		return fmt.Errorf("keeping a way's port: %w", err)
+	}
+	return nil
+}
+
+// sharedPort lets the way listen beside the socket that keeps its port.
+func sharedPort(network, _ string, c syscall.RawConn) error {
+	if network == "unix" {
+		return nil
+	}
+	var failed error
+	if err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); err != nil {
+		return err
+	}
+	return failed
+}
+
 func (w *Way) open() error {
-	l, err := net.Listen(w.network, w.at)
+	listening := net.ListenConfig{Control: sharedPort}
+	l, err := listening.Listen(context.Background(), w.network, w.at)
 	if err != nil {
 		return err
 	}
@@ -79,7 +133,9 @@
 	defer w.mu.Unlock()
 	if w.mode = mode; mode != Refuse {
 		if w.listener == nil {
-			_ = w.open() // the port may be taken meanwhile: then it stays refused
+			if err := w.open(); err != nil { // the port is kept, the path is the test's own
+				w.t.Errorf("opening the way %s again: %v", w.Addr, err)
+			}
 		}
 		return
 	}
--- a/nodeclient/client_test.go
+++ b/nodeclient/client_test.go
@@ -302,6 +302,55 @@
 	s.wait(t, 1, decide.Broken)
 }
 
+// Somebody else answers at a node's address, whose port another process has got: a web
+// server, one that sends back what it reads, a Flight server. Nothing of that counts as an
+// answer, and each part has its outcome.
+func TestStrangerAtANodesAddress(t *testing.T) {
+	for name, serve := range map[string]func(net.Conn){
+		"a web server":    func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n") },
+		"an echo":         func(c net.Conn) { _, _ = io.Copy(c, c) },
+		"a Flight server": func(c net.Conn) { _, _ = c.Write([]byte{0, 0, 6, 4, 0, 0, 0, 0, 0, 0, 5, 0, 0, 64, 0}) }, // HTTP/2 settings
+		"one that leaves": func(net.Conn) {},
+	} {
+		c, s := client(t, 8, 0)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() { // ends with the listener
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					_, _ = io.ReadFull(conn, make([]byte, 1))
+					serve(conn)
+				}()
+			}
+		}()
+		c.Update([]broker.Node{{ID: "n", Addr: l.Addr().String()}})
+		for id := range 3 {
+			c.send("n", attempt(id))
+			testkit.Eventually(t, name+": an outcome", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				_, ok := s.got[broker.AttemptID(id)]
+				return ok
+			})
+		}
+		s.mu.Lock()
+		for id, got := range s.got {
+			if got != decide.Failed && got != decide.Broken && got != decide.Cancelled {
+				t.Errorf("%s, attempt %d: %v", name, id, got)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 func TestPool(t *testing.T) {
 	c, s := client(t, 2, 200*time.Millisecond)
 	n := testkit.NewNode(t, "n", false)
