Keep a fiftieth of short deadlines for the answer's way, not a twentieth

Cause: of queries of about a second the twentieth gave up 37 to 50 ms in which late answers still earn.

--- a/daemon/takeover.go
+++ b/daemon/takeover.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 
+	"onyxsail/broker"
 	"onyxsail/config"
 	"onyxsail/takeover"
 )
@@ -67,13 +68,16 @@
 }
 
 // applyLimits tells the core its limits; d.mu is held.
-func (d *Daemon) applyLimits() {
-	limits := d.limits
-	limits.Processes = d.processes
-	if d.processes > 1 && limits.MaxOpen > 0 {
+func (d *Daemon) applyLimits() { d.core.SetLimits(sharedLimits(d.limits, d.processes)) }
+
+// sharedLimits are those of one of so many processes of a broker. What is sent to a node in
+// slow start is shared by the module, which is told their number.
+func sharedLimits(limits broker.Limits, processes int) broker.Limits {
+	limits.Processes = processes
+	if processes > 1 && limits.MaxOpen > 0 {
 		limits.MaxOpen = max(1, limits.MaxOpen/2)
 	}
-	d.core.SetLimits(limits)
+	return limits
 }
 
 // Beside implements takeover.Neighbour.
--- a/decide/deadline.go
+++ b/decide/deadline.go
@@ -6,7 +6,7 @@
 // gives up a reserve before the deadline.
 const (
 	reserveMostMs = 50   // as much as the protocol lengthens each time limit on sockets
-	reserveShare  = 0.05 // of the time that a query has, where deadlines are short
+	reserveShare  = 0.02 // of the time that a query has, where deadlines are short
 )
 
 // reserve is how long before its deadline a query of so much time, in milliseconds, is given
