Add a failing test: a change whose leader is lost is told as never taken

The leader has the change on its disk and loses the others before it sends it on: got "no leader is known now", want that it is undecided. Found by looking for errors that are folded into another.

--- a/store/store.go
+++ b/store/store.go
@@ -62,6 +62,10 @@
 	return fmt.Sprintf("not the leader: that is %s at %s", n.Leader.Name, n.Leader.Flight)
 }
 
+// ErrUndecided is the error of a change whose leader lost its place under it: another instance
+// may have it, so it may have taken effect, or may yet.
+var ErrUndecided = errors.New("the leadership was lost under the change, which may have taken effect or may yet: read the configuration")
+
 // Status is how an instance sees the group.
 type Status struct {
 	Name   string `json:"name"`
@@ -189,7 +193,8 @@
 }
 
 // SetConfig validates a change, proposes it and returns the new configuration.
-// It fails with a NotLeader at any instance but the leader.
+// It fails with a NotLeader at any instance but the leader, and with ErrUndecided where
+// nobody knows whether it has taken effect.
 func (s *Store) SetConfig(p Patch) (Config, error) {
 	if err := p.Validate(); err != nil {
 		return Config{}, err
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -27,12 +28,14 @@
 	live  []*store.Store
 	fail  atomic.Pointer[syscall.Errno] // what writes to all disks end with; nil: they work
 	vain  atomic.Int64                  // writes that have failed
+	wrote atomic.Pointer[func(at int)]  // called once an instance has entries on its disk, before it sends them on
 }
 
 // disk fails while its group says so.
 type disk struct {
 	store.Disk
 	of *group
+	at int // whose it is
 }
 
 func (d disk) write(f func() error) error {
@@ -45,7 +48,11 @@
 
 func (d disk) StoreLog(l *raft.Log) error { return d.write(func() error { return d.Disk.StoreLog(l) }) }
 func (d disk) StoreLogs(l []*raft.Log) error {
-	return d.write(func() error { return d.Disk.StoreLogs(l) })
+	err := d.write(func() error { return d.Disk.StoreLogs(l) })
+	if f := d.of.wrote.Load(); f != nil {
+		(*f)(d.at)
+	}
+	return err
 }
 func (d disk) DeleteRange(from, to uint64) error {
 	return d.write(func() error { return d.Disk.DeleteRange(from, to) })
@@ -84,7 +91,7 @@
 	g.t.Helper()
 	s, err := store.Open(store.Options{
 		Name: g.peers[i].Name, Dir: g.dirs[i], Peers: g.peers, Log: zerolog.New(io.Discard), Listen: l,
-		Disk: func(d store.Disk) store.Disk { return disk{d, g} },
+		Disk: func(d store.Disk) store.Disk { return disk{d, g, i} },
 		Tune: func(c *raft.Config) {
 			c.HeartbeatTimeout, c.ElectionTimeout = 150*time.Millisecond, 150*time.Millisecond
 			c.LeaderLeaseTimeout, c.CommitTimeout = 100*time.Millisecond, 5*time.Millisecond
@@ -193,6 +200,36 @@
 	})
 }
 
+// The leader has a change on its disk and loses the others before it can send it on. Whether
+// the change takes effect is open: the next leader may have it or not. That was told as "not
+// the leader", the one outcome for an instance that never took the change, and `config set`
+// went on to send it to the next leader as if nothing had been done.
+func TestChangeUnderALostLeadershipIsUndecided(t *testing.T) {
+	g := newGroup(t)
+	g.set(1)
+	lead := g.leader()
+	var once sync.Once
+	cut := func(at int) {
+		if at != lead {
+			return
+		}
+		once.Do(func() {
+			for i := range g.live {
+				if i != lead {
+					g.stop(i)
+				}
+			}
+		})
+	}
+	g.wrote.Store(&cut)
+	open := 2
+	_, err := g.live[lead].SetConfig(store.Patch{MaxOpen: &open})
+	var not *store.NotLeader
+	if !errors.Is(err, store.ErrUndecided) || errors.As(err, &not) {
+		t.Errorf("got %v, want %v", err, store.ErrUndecided)
+	}
+}
+
 func TestLeaderLossAndCatchUp(t *testing.T) {
 	g := newGroup(t)
 	lost := g.leader()
