Tell a change whose leader was lost as undecided

Symptom: TestChangeUnderALostLeadershipIsUndecided got "no leader is known now". Cause: Store.propose folded raft.ErrLeadershipLost, which leaves the outcome open, into NotLeader, which proves that nothing was taken; config set then sent the change again. Change: ErrUndecided, code Unknown over Flight.

--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -256,6 +256,8 @@
 			return s.Err()
 		}
 		return with.Err()
+	case errors.Is(err, store.ErrUndecided):
+		return status.Error(codes.Unknown, err.Error())
 	case errors.Is(err, store.ErrInvalid):
 		return status.Error(codes.InvalidArgument, err.Error())
 	case errors.Is(err, store.ErrConflict):
--- a/store/store.go
+++ b/store/store.go
@@ -210,8 +210,10 @@
 	}
 	f := s.raft.Apply(data, applyWithin)
 	if err := f.Error(); err != nil {
-		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) ||
-			errors.Is(err, raft.ErrLeadershipTransferInProgress) {
+		if errors.Is(err, raft.ErrLeadershipLost) {
+			return State{}, fmt.Errorf("proposing a command: %w", ErrUndecided)
+		}
+		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipTransferInProgress) {
 			leader, _ := s.Leader()
 			return State{}, fmt.Errorf("proposing a command: %w", &NotLeader{leader})
 		}
