Let a part join only a call that has room, also at a cold node

Cause: Root.joins took all parts of a turn for one call, whatever BundleMax: one part's room sent a cold node all that a turn had for it. Change: it counts the turn's parts by calls.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -608,9 +608,13 @@
 // holders are the ready replicas that hold the part's shard.
 func (r *Root) holders(p *part) []*replica { return r.cells[uint(p.shard)%uint(len(r.cells))] }
 
-// joins says that what h is sent now joins a call of this turn.
+// joins says that what h is sent now joins a call of this turn which has room for it.
 func (r *Root) joins(h *replica) bool {
-	return r.s.BundleMax > 1 && len(h.out) > 0 && h.out[len(h.out)-1].turn == r.turn
+	begun := 0 // parts of this turn
+	for i := len(h.out) - 1; i >= 0 && h.out[i].turn == r.turn; i-- {
+		begun++
+	}
+	return begun%r.s.BundleMax != 0
 }
 
 // coldRoom keeps a cold replica from being pushed over: a root sends it, on average, its part of the told
