Review case 3: a restarted broker goes back to the default configuration

Three brokers with the store agree on max_open 5. One that is killed and started again is ready with version 0, the defaults, and serves four queries at once where the agreed limit allows one: for 0.4 to 1 s with a majority, and without end without one.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# With TROUBLE=0 the same without the disruption.
+exec sh "$(dirname "$0")/../run-case.sh" config-rollback "$(cd "$(dirname "$0")" && pwd)"
