Review case 2: the edit of the site's own class, with a shorter window

The same fault with the class watchlist-edit and a window of 600 ms in place of another class that is made keyed; the Flight servers have the library's defaults.

--- a/review/standin/case_window.go
+++ b/review/standin/case_window.go
@@ -39,7 +39,7 @@
 }
 
 // breakAfter is how long after its run the answer to a large edit breaks.
-const breakAfter = 1100 * time.Millisecond
+const breakAfter = 500 * time.Millisecond
 
 // largeText is the length from which on a query's text counts as large.
 const largeText = 32 << 10
@@ -99,8 +99,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	// The windows of HTTP/2 as its specification has them, for streams and connections.
-	server := grpc.NewServer(grpc.InitialWindowSize(65535), grpc.InitialConnWindowSize(65535))
+	server := grpc.NewServer()
 	flight.RegisterFlightServiceServer(server, s)
 	fmt.Printf("ADDR %s\n", l.Addr())
 	go func() { _ = server.Serve(rememberingListener{l, s}) }()
@@ -230,10 +229,11 @@
 }
 
 const (
-	editWindow = 1200 * time.Millisecond
+	// editWindow is the window for repeats: shorter than the site's, as on the brink days.
+	editWindow = 600 * time.Millisecond
 	// stillFrom is when the other server begins to stand still, after the edit's run at the first,
 	// and stillFor for how long it does: the longest that the pages name.
-	stillFrom, stillFor = 1050 * time.Millisecond, 500 * time.Millisecond
+	stillFrom, stillFor = 450 * time.Millisecond, 500 * time.Millisecond
 	// windowSlack is what the rule leaves: 50 ms for sockets, and 0.15 s for a broker that is held up.
 	windowSlack = 200 * time.Millisecond
 )
@@ -284,15 +284,13 @@
 	if err != nil {
 		return nil, false, setupError("%v", err)
 	}
-	// The class screen has another effect than at the site, as on the brink days: it is keyed,
-	// with the site's window. All else of it is as it was.
-	keyed := settings(1, 0)
-	screen := keyed["classes"].([]any)[0].(map[string]any)
-	screen["idempotency"], screen["windowMs"] = "keyed", float64(editWindow.Milliseconds())
+	shortWindow := settings(1, 0)
+	edits := shortWindow["classes"].([]any)[2].(map[string]any)
+	edits["windowMs"] = float64(editWindow.Milliseconds())
 	p, err := startBroker(e.root, e.dir, fmt.Sprintf("n%d", round+1), map[string]any{
 		"name": "n1", "listen": addrs[0], "discovery": disc.addr, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":  map[string]any{"version": 1, "full": true, "servers": entries}, "settings": keyed,
+		"known":  map[string]any{"version": 1, "full": true, "servers": entries}, "settings": shortWindow,
 	})
 	if err != nil {
 		return nil, false, setupError("%v", err)
@@ -302,12 +300,12 @@
 		return nil, false, err
 	}
 	var wg sync.WaitGroup
-	for c := range 3 { // small queries, so that both servers are connected and known
+	for c := range 3 { // small edits, so that both servers are connected and known
 		wg.Go(func() {
 			client := newHTTPClient(addrs[0])
 			for i := range 15 {
 				id := fmt.Sprintf("small-%d-%d-%d", round, c, i)
-				r := client.query(id, "screen", "key-"+id, 4*time.Second, []int{i}, "x")
+				r := client.query(id, "watchlist-edit", "key-"+id, 2500*time.Millisecond, []int{i}, "x")
 				e.rec.note("request %s: status %d %v", id, r.status, r.err)
 				time.Sleep(50 * time.Millisecond)
 			}
@@ -319,7 +317,7 @@
 	done := make(chan reply, 1)
 	e.rec.note("request %s: 60000 bytes for shard 3, key %s", id, key)
 	go func() {
-		done <- newHTTPClient(addrs[0]).query(id, "screen", key, 4*time.Second, []int{3}, strings.Repeat("e", 60000))
+		done <- newHTTPClient(addrs[0]).query(id, "watchlist-edit", key, 2500*time.Millisecond, []int{3}, strings.Repeat("e", 60000))
 	}()
 	var first, second *serverProcess
 	var began time.Time
