--- a/review/standin/frames.go
+++ b/review/standin/frames.go
@@ -19,9 +19,32 @@
 	id, addr string
 	rec      *record
 	work     time.Duration
-	workOf   func(query string) time.Duration // if set, in place of work
+	workOf   func(query string, shard int) time.Duration // if set, in place of work
+	valueOf  func(query string, shard int) string        // if set, in place of partValue
 	mu       sync.Mutex
 	runs     map[string]int // by part id
+	still    time.Time      // until when it answers nothing
+}
+
+// standStill makes the server answer nothing for a time. What is due then is answered after it.
+func (n *frameNode) standStill(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.still = time.Now().Add(d)
+	n.rec.note("%s: stands still for %v", n.id, d)
+}
+
+// awaitStill returns once the server does not stand still.
+func (n *frameNode) awaitStill() {
+	for {
+		n.mu.Lock()
+		wait := time.Until(n.still)
+		n.mu.Unlock()
+		if wait <= 0 {
+			return
+		}
+		time.Sleep(wait)
+	}
 }
 
 func startFrameNode(rec *record, id string, work time.Duration) (*frameNode, error) {
@@ -87,11 +110,16 @@
 				n.mu.Unlock()
 				work := n.work
 				if n.workOf != nil {
-					work = n.workOf(query)
+					work = n.workOf(query, shard)
 				}
 				time.AfterFunc(work, func() {
-					n.rec.note("%s: part %s ran, value %s", n.id, words[0], partValue(query, shard))
-					send('R', fmt.Sprintf("%s done 1 -\n%s", words[0], partValue(query, shard)))
+					n.awaitStill()
+					n.rec.note("%s: part %s ran", n.id, words[0])
+					value := partValue(query, shard)
+					if n.valueOf != nil {
+						value = n.valueOf(query, shard)
+					}
+					send('R', fmt.Sprintf("%s done 1 -\n%s", words[0], value))
 				})
 			}
 		}
