Review case 3: a request sent ahead of a stop runs and gets no answer

After SIGTERM a client sends an edit and a look-up at once on a kept connection, and another edit 150 ms later, while the server of the first stands still for half a second.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # With TROUBLE=0 the same without the disruption.
-exec sh "$(dirname "$0")/../run-case.sh" pipeline-answers "$(cd "$(dirname "$0")" && pwd)"
+exec sh "$(dirname "$0")/../run-case.sh" pipeline-drain "$(cd "$(dirname "$0")" && pwd)"
