--- a/review/review_test.go
+++ b/review/review_test.go
@@ -41,6 +41,10 @@
 	runScript(t, "run-case.sh", "config-rollback", t.TempDir())
 }
 
+func TestReviewBeyondTwoOfThreeCopiesLost(t *testing.T) {
+	runScript(t, "run-case.sh", "store-copies", t.TempDir())
+}
+
 func TestReviewBeyondRequestBehindAVanishedClass(t *testing.T) {
 	runScript(t, "run-case.sh", "pipeline-reload", t.TempDir())
 }
