Check every message of a Flight result before it is decoded

Cause: ReadValues sliced values by offsets that a peer sent. The Arrow library checks only the last one and recovers only while it decodes; nothing recovers in the goroutine of an attempt. The library also allocates by counts and uncompressed lengths that the peer states, and a stream of batches without rows never reached the limit on rows.

Such a result is ErrInvalidResult, a failed attempt that may have run. Headers and trailers are bounded. A panic in an attempt fails that attempt, is counted and logged.

--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 
 const (
 	maxMessageBytes     = 128 << 10 // limit on one received message
+	maxHeaderBytes      = 16 << 10  // limit on the received headers or trailers of one call
 	maxValueBytes       = 64 << 10  // limit on one part's value
 	idleTimeoutFraction = 0.7       // fraction of the server's idle timeout after which an idle connection is closed
 	maxOpenAttempts     = 4096      // limit on concurrent attempts over all nodes
@@ -67,6 +69,7 @@
 	poolFullLoggedAt time.Time // time of the latest pool-full log line
 	closed           bool
 	writtenAttempts  atomic.Int64 // attempts whose ticket has been handed to gRPC
+	recoveredPanics  atomic.Int64 // attempts that panicked
 }
 
 // node is a node that is listed or still has open calls. If its address changes while calls
@@ -282,7 +285,7 @@
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
 			grpc.WithIdleTimeout(time.Duration(idleTimeoutFraction * float64(c.opts.ServerIdleTimeout))),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)), grpc.WithMaxHeaderListSize(maxHeaderBytes),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
 				MinConnectTimeout: c.opts.ConnectTimeout,
@@ -325,7 +328,7 @@
 		go func(conn *grpc.ClientConn) {
 			defer c.goroutines.Done()
 			sentAt := time.Now()
-			outcome, answer, err := c.runAttempt(ctx, conn, n, a)
+			outcome, answer, err := c.runAttemptGuarded(ctx, conn, n, a)
 			cancel()
 			if err != nil {
 				c.opts.Log.Debug().Str("event", "attempt").Str("node", id).Err(err).Msg("attempt failed")
@@ -379,6 +382,22 @@
 	}
 }
 
+// errPanicked reports that the goroutine of an attempt panicked.
+var errPanicked = errors.New("panic while making an attempt")
+
+// runAttemptGuarded calls runAttempt. If that panics, the attempt has failed and may have run: a
+// panic would otherwise end the process and all its queries.
+func (c *Client) runAttemptGuarded(ctx context.Context, conn *grpc.ClientConn, n *node, a broker.Attempt) (outcome decide.Outcome, answer broker.Response, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.opts.Log.Error().Str("event", "panic").Str("node", n.id).Int64("total", c.recoveredPanics.Add(1)).
+				Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("an attempt panicked and counts as failed")
+			outcome, answer, err = decide.Failed, broker.Response{}, errPanicked
+		}
+	}()
+	return c.runAttempt(ctx, conn, n, a)
+}
+
 // runAttempt makes one attempt. Before the stream of DoGet is open, the attempt cannot have
 // run; afterwards only the trailer, which comes from the node itself, proves that it did not.
 func (c *Client) runAttempt(ctx context.Context, conn *grpc.ClientConn, n *node, a broker.Attempt) (decide.Outcome, broker.Response, error) {
@@ -486,6 +505,9 @@
 	if ends := trailer.Get(flightwire.PartEndKey); len(ends) == 1 && ends[0] == flightwire.PartEndQueueFull {
 		return decide.Rejected
 	}
+	if errors.Is(err, flightwire.ErrInvalidResult) {
+		return decide.Failed
+	}
 	switch statusCode(err) {
 	case codes.DeadlineExceeded:
 		return decide.TimedOut
--- a/internal/flightwire/flightwire.go
+++ b/internal/flightwire/flightwire.go
@@ -4,9 +4,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"strconv"
 
 	"github.com/apache/arrow-go/v18/arrow"
@@ -30,13 +28,6 @@
 	PartEndQueueFull = "full"
 )
 
-// Limits of one result that is read. Without them, a node that never stops sending could use up
-// the memory.
-const (
-	maxRows       = 1024    // rows of all batches
-	maxValueBytes = 1 << 20 // of all values
-)
-
 // QueryTicket is the ticket of a query, without its targets and text. These are further fields
 // of the same JSON object, which package query decodes as in the body of an HTTP request.
 type QueryTicket struct {
@@ -97,42 +88,3 @@
 	}
 	return nil
 }
-
-// ReadValues reads a result. complete is true only if the schema's metadata says so. If the stream
-// does not end properly, or the result has the wrong schema or exceeds the limits, ReadValues
-// returns an error and no values.
-func ReadValues(stream flight.DataStreamReader) (complete bool, values []broker.Value, err error) {
-	reader, err := flight.NewRecordReader(stream)
-	if err != nil {
-		return false, nil, fmt.Errorf("reading the schema of a result: %w", err)
-	}
-	defer reader.Release()
-	if !reader.Schema().Equal(Schema(true)) {
-		return false, nil, fmt.Errorf("reading a result: unexpected schema %v", reader.Schema())
-	}
-	if v, ok := reader.Schema().Metadata().GetValue(CompleteKey); ok {
-		complete = v == "true"
-	}
-	valueBytes := 0
-	for reader.Next() {
-		batch := reader.RecordBatch()
-		shardColumn, ok1 := batch.Column(0).(*array.Int32)
-		valueColumn, ok2 := batch.Column(1).(*array.Binary)
-		if !ok1 || !ok2 || shardColumn.NullN()+valueColumn.NullN() > 0 {
-			return false, nil, errors.New("reading a result: a column has the wrong type or null values")
-		}
-		for i := range shardColumn.Len() {
-			valueBytes += valueColumn.ValueLen(i)
-		}
-		if len(values)+shardColumn.Len() > maxRows || valueBytes > maxValueBytes {
-			return false, nil, errors.New("reading a result: too large")
-		}
-		for i := range shardColumn.Len() {
-			values = append(values, broker.Value{Shard: int(shardColumn.Value(i)), Data: append([]byte(nil), valueColumn.Value(i)...)})
-		}
-	}
-	if err := reader.Err(); err != nil && !errors.Is(err, io.EOF) {
-		return false, nil, fmt.Errorf("reading a result: %w", err)
-	}
-	return complete, values, nil
-}
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -64,6 +64,8 @@
 
 	mu             sync.Mutex
 	responder      func(Part) string // returns the response to a part; called without holding mu
+	flightFilter   FlightFilter      // nil: messages are sent as they are
+	flightTrailer  metadata.MD       // trailers of all answers on Flight
 	parts          []Part
 	cancelled      []string          // IDs of cancelled parts
 	conns          map[net.Conn]bool // open connections
@@ -131,6 +133,53 @@
 	n.responder = responder
 }
 
+// FlightFilter changes the messages of an answer to a part on Flight.
+type FlightFilter func(Part, *flight.FlightData)
+
+// SetFlightFilter makes the node pass the messages of its answers through filter.
+func (n *Node) SetFlightFilter(filter FlightFilter) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.flightFilter = filter
+}
+
+// SetTrailer makes the node end its answers on Flight with these trailers.
+func (n *Node) SetTrailer(trailer metadata.MD) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.flightTrailer = trailer
+}
+
+// trailer returns the trailers of an answer on Flight.
+func (n *Node) trailer() metadata.MD {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.flightTrailer
+}
+
+// filteredStream passes the messages of one answer through a filter.
+type filteredStream struct {
+	flight.FlightService_DoGetServer
+	part   Part
+	filter FlightFilter
+}
+
+// Send implements flight.DataStreamWriter.
+func (s filteredStream) Send(message *flight.FlightData) error {
+	s.filter(s.part, message)
+	return s.FlightService_DoGetServer.Send(message)
+}
+
+// filtered returns the stream of an answer, behind the node's filter if it has one.
+func (n *Node) filtered(part Part, stream flight.FlightService_DoGetServer) flight.FlightService_DoGetServer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.flightFilter == nil {
+		return stream
+	}
+	return filteredStream{stream, part, n.flightFilter}
+}
+
 // SetResponse makes the node respond to every part in the same way.
 func (n *Node) SetResponse(response string) { n.SetResponder(func(Part) string { return response }) }
 
@@ -349,10 +398,11 @@
 	if md, ok := metadata.FromIncomingContext(stream.Context()); ok {
 		part.Traceparent, part.Tracestate = strings.Join(md.Get("traceparent"), " "), strings.Join(md.Get("tracestate"), " ")
 	}
+	stream.SetTrailer(f.node.trailer())
 	recordCancelled := func() { f.node.update(func() { f.node.cancelled = append(f.node.cancelled, request.ID) }) }
 	switch f.node.receive(part) {
 	case Done:
-		return flightwire.WriteValues(stream, true, []broker.Value{{Shard: request.Partition, Data: []byte(ShardValue(request.Partition))}})
+		return flightwire.WriteValues(f.node.filtered(part, stream), true, []broker.Value{{Shard: request.Partition, Data: []byte(ShardValue(request.Partition))}})
 	case Full:
 		stream.SetTrailer(metadata.Pairs(flightwire.PartEndKey, flightwire.PartEndQueueFull))
 		return status.Error(codes.ResourceExhausted, "full")
