Decide whether a Flight part may start when its ticket's last byte leaves

Cause: the latest start was checked before the ticket was handed to grpc-go, which sends it when flow control and the socket permit. A ticket over 64 KB, or a small one behind another query's, left whenever the node read again. Drains, nodes off the list, departed clients and the time told were passed over alike.

Change: trackedConn follows the HTTP/2 frames written to a node and knows when the last byte of an attempt's request goes to the kernel. A ticket not written at its latest start, its node's, after 0.1 s, or when cancelled or its node is off the list is withdrawn; its stream is reset and the connection goes on. A write past that is refused. What never left never ran, also where a connection breaks. Tickets stuck in a socket, or undelivered for a client that has left, are discarded with their connection, as for frames. The limits that both node clients share are in dial.

--- a/flightnode/attempt.go
+++ b/flightnode/attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
@@ -25,9 +26,27 @@
 // errPanicked reports that the goroutine of an attempt panicked.
 var errPanicked = errors.New("panic while making an attempt")
 
+// errTooLate reports that an attempt got its stream when it must no longer start.
+var errTooLate = errors.New("the attempt's latest start has passed, or its node is no longer listed")
+
+// newTicket returns the ticket of an attempt that is about to be made at a node.
+func (c *Client) newTicket(a broker.Attempt, n *node, cancel context.CancelFunc) *ticket {
+	return &ticket{attempt: a, node: n.startLimit, conns: n.latestConn, cancel: cancel, settled: make(chan struct{}), written: func(at time.Time) {
+		c.writtenAttempts.Add(1)
+		c.notify(a.ID, broker.WireSent, n.addr, at)
+	}}
+}
+
+// notify reports a phase of an attempt to the observer.
+func (c *Client) notify(id broker.AttemptID, phase broker.WirePhase, addr string, at time.Time) {
+	if c.opts.Observer != nil {
+		c.opts.Observer.PhaseReached(id, phase, addr, at)
+	}
+}
+
 // runAttemptGuarded calls runAttempt. If that panics, the attempt has failed and may have run: a
 // panic would otherwise end the process and all its queries.
-func (c *Client) runAttemptGuarded(ctx context.Context, conn *grpc.ClientConn, n *node, a broker.Attempt) (outcome decide.Outcome, answer broker.Response, err error) {
+func (c *Client) runAttemptGuarded(ctx context.Context, conn *grpc.ClientConn, n *node, t *ticket) (outcome decide.Outcome, answer broker.Response, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			c.opts.Log.Error().Str("event", "panic").Str("node", n.id).Int64("total", c.recoveredPanics.Add(1)).
@@ -35,91 +54,103 @@
 			outcome, answer, err = decide.Failed, broker.Response{}, errPanicked
 		}
 	}()
-	return c.runAttempt(ctx, conn, n, a)
+	return c.runAttempt(ctx, conn, n, t)
 }
 
-// runAttempt makes one attempt. Before the stream of DoGet is open, the attempt cannot have
-// run; afterwards only the trailer, which comes from the node itself, proves that it did not.
-func (c *Client) runAttempt(ctx context.Context, conn *grpc.ClientConn, n *node, a broker.Attempt) (decide.Outcome, broker.Response, error) {
-	var answer broker.Response
-	notify := func(p broker.WirePhase, at time.Time) {
-		if c.opts.Observer != nil {
-			c.opts.Observer.PhaseReached(a.ID, p, conn.Target(), at)
-		}
-	}
+// runAttempt makes one attempt. Before the last byte of its ticket has been written, the attempt
+// cannot have run; afterwards only the trailer, which comes from the node itself, proves that it
+// did not.
+func (c *Client) runAttempt(ctx context.Context, conn *grpc.ClientConn, n *node, t *ticket) (outcome decide.Outcome, answer broker.Response, err error) {
+	id := t.attempt.ID
 	if conn.GetState() != connectivity.Ready {
-		notify(broker.WireConnecting, time.Now())
+		c.notify(id, broker.WireConnecting, n.addr, time.Now())
 	}
 	if err := c.waitReady(ctx, conn); err != nil {
-		if n.localFailure.Load() {
+		if n.localFailure.Load() || t.mustNotStart(time.Now()) {
 			return decide.NotSent, answer, err
 		}
 		return decide.Unreachable, answer, err
 	}
-	notify(broker.WireConnected, time.Now())
-	if c.opts.Observer != nil {
-		if parent, state := c.opts.Observer.TraceHeaders(a.ID); parent != "" {
-			ctx = metadata.AppendToOutgoingContext(ctx, tracecontext.TraceparentHeader, parent)
-			if state != "" {
-				ctx = metadata.AppendToOutgoingContext(ctx, tracecontext.TracestateHeader, state)
-			}
-		}
-	}
-	// NewStream instead of the generated DoGet client, which does not show whether an error
-	// came before or after the ticket was sent.
-	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/arrow.flight.protocol.FlightService/DoGet")
-	if err != nil {
-		return decide.Unreachable, answer, err
+	c.notify(id, broker.WireConnected, n.addr, time.Now())
+	stream, cancel, err := openStream(c.withHeaders(ctx, id), conn)
+	if err == nil {
+		defer cancel()
 	}
-	// NewStream may have waited for the connection, and for the node's limit on streams.
-	if latest, listed := c.latestStart(n); !listed || a.MustNotStart(latest, time.Now()) {
+	// openStream may have waited for the connection, and for the node's limit on streams.
+	now := time.Now()
+	if t.mustNotStart(now) {
 		return decide.NotSent, answer, errTooLate
 	}
-	remaining := a.Timeout // the node gets the time that remains now
-	if end, ok := ctx.Deadline(); ok {
-		remaining = time.Until(end)
+	if err != nil {
+		return decide.Unreachable, answer, err
 	}
-	ticket, err := flightwire.EncodeTicket(flightwire.PartTicket{
-		ID: fmt.Sprintf("%s.%d", a.RequestID, a.Shard), Partition: a.Shard, WaitMs: max(1, remaining.Milliseconds()),
-		Key: a.IdempotencyKey, Query: a.Text,
-	})
+	message, err := encodeTicket(ctx, &t.attempt, now)
 	if err != nil {
 		return decide.NotSent, answer, err
 	}
-	answers := &answerStream{ClientStream: stream, firstMessageAt: &answer.FirstByteAt}
-	if err = stream.SendMsg(ticket); err == nil {
+	t.armLimit(now)
+	if err = stream.SendMsg(message); err == nil {
 		err = stream.CloseSend()
 	}
 	if err == nil {
-		c.writtenAttempts.Add(1)
-		notify(broker.WireSent, time.Now())
+		answer, err = readAnswer(stream, t.attempt.Shard)
 	}
-	var values []broker.Value
-	if err == nil {
-		_, values, err = flightwire.ReadValues(answers)
+	outcome = classify(err, stream.Trailer())
+	return t.settle(outcome, time.Now()), answer, err
+}
+
+// withHeaders adds the request headers of an attempt to its context.
+func (c *Client) withHeaders(ctx context.Context, id broker.AttemptID) context.Context {
+	ctx = metadata.AppendToOutgoingContext(ctx, attemptHeader, strconv.FormatUint(uint64(id), 10))
+	if c.opts.Observer == nil {
+		return ctx
 	}
-	if err == nil && (len(values) != 1 || values[0].Shard != a.Shard || len(values[0].Data) > maxValueBytes) {
-		return decide.Failed, answer, fmt.Errorf("got an answer of %d parts, want one part of shard %d", len(values), a.Shard)
+	parent, state := c.opts.Observer.TraceHeaders(id)
+	if parent != "" {
+		ctx = metadata.AppendToOutgoingContext(ctx, tracecontext.TraceparentHeader, parent)
 	}
-	if err == nil {
-		answer.Value = values[0].Data
-		return decide.OK, answer, nil
+	if parent != "" && state != "" {
+		ctx = metadata.AppendToOutgoingContext(ctx, tracecontext.TracestateHeader, state)
 	}
-	return classify(err, stream.Trailer()), answer, err
+	return ctx
 }
 
-// errTooLate reports that an attempt got its stream when it must no longer start.
-var errTooLate = errors.New("the attempt's latest start has passed, or its node is no longer listed")
+// openStream opens the stream of one attempt. cancel ends it.
+func openStream(ctx context.Context, conn *grpc.ClientConn) (stream grpc.ClientStream, cancel context.CancelFunc, err error) {
+	ctx, cancel = context.WithCancel(ctx)
+	// NewStream instead of the generated DoGet client, which does not show whether an error
+	// came before or after the ticket was sent.
+	stream, err = conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/arrow.flight.protocol.FlightService/DoGet")
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	return stream, cancel, nil
+}
+
+// encodeTicket returns the ticket of an attempt. The node gets the time that remains now.
+func encodeTicket(ctx context.Context, a *broker.Attempt, now time.Time) (*flight.Ticket, error) {
+	remaining := a.Timeout
+	if end, ok := ctx.Deadline(); ok {
+		remaining = end.Sub(now)
+	}
+	return flightwire.EncodeTicket(flightwire.PartTicket{
+		ID: fmt.Sprintf("%s.%d", a.RequestID, a.Shard), Partition: a.Shard, WaitMs: max(1, remaining.Milliseconds()),
+		Key: a.IdempotencyKey, Query: a.Text,
+	})
+}
 
-// latestStart returns the time after which attempts may not begin at a node, zero if there is
-// no limit, and whether the node is listed.
-func (c *Client) latestStart(n *node) (latest time.Time, listed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if current := c.nodes[n.id]; current != nil { // n, or its replacement
-		return current.latestStart, current.listed
+// readAnswer reads the one value of a shard.
+func readAnswer(stream grpc.ClientStream, shard int) (answer broker.Response, err error) {
+	_, values, err := flightwire.ReadValues(&answerStream{ClientStream: stream, firstMessageAt: &answer.FirstByteAt})
+	if err != nil {
+		return answer, err
 	}
-	return time.Time{}, false
+	if len(values) != 1 || values[0].Shard != shard || len(values[0].Data) > maxValueBytes {
+		return answer, fmt.Errorf("%w: %d parts, want one of shard %d", flightwire.ErrInvalidResult, len(values), shard)
+	}
+	answer.Value = values[0].Data
+	return answer, nil
 }
 
 // answerStream receives the messages of one answer.
@@ -140,8 +171,11 @@
 	return m, nil
 }
 
-// classify returns the outcome for an error on a stream that had been opened.
+// classify returns the outcome for the error with which a stream ended, nil after an answer.
 func classify(err error, trailer metadata.MD) decide.Outcome {
+	if err == nil {
+		return decide.OK
+	}
 	if ends := trailer.Get(flightwire.PartEndKey); len(ends) == 1 && ends[0] == flightwire.PartEndQueueFull {
 		return decide.Rejected
 	}
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -54,12 +54,13 @@
 
 	mu               sync.Mutex
 	nodes            map[string]*node
-	cancelByAttempt  map[broker.AttemptID]context.CancelFunc
 	openConns        int
 	poolFullLoggedAt time.Time // time of the latest pool-full log line
 	closed           bool
-	writtenAttempts  atomic.Int64 // attempts whose ticket has been handed to gRPC
-	recoveredPanics  atomic.Int64 // attempts that panicked
+
+	tickets         ticketTable  // of the open attempts
+	writtenAttempts atomic.Int64 // attempts whose ticket has been passed to the kernel whole
+	recoveredPanics atomic.Int64 // attempts that panicked
 }
 
 // node is a node that is listed or still has open calls. If its address changes while calls
@@ -71,13 +72,27 @@
 	openCalls    int              // attempts and probes that are open
 	idleSince    time.Time        // since when it has had no open calls
 	listed       bool
-	latestStart  time.Time              // attempts may not begin after this; zero: no limit
-	multiAddr    bool                   // multiDialer has its addresses
-	connAddr     atomic.Pointer[string] // with several addresses, the one connected to last; nil: none yet
-	localFailure atomic.Bool            // with one address: the latest dial failed because of a failure on this machine
+	startLimit   *atomic.Pointer[startLimit]  // shared with replacements of the same id
+	latestConn   *atomic.Pointer[trackedConn] // the connection opened last; nil: none yet
+	multiAddr    bool                         // multiDialer has its addresses
+	connAddr     atomic.Pointer[string]       // with several addresses, the one connected to last; nil: none yet
+	localFailure atomic.Bool                  // with one address: the latest dial failed because of a failure on this machine
 }
 
-// WrittenAttempts returns the number of attempts whose ticket has been handed to gRPC so far.
+// newNode returns a listed node without a connection. previous, if not nil, is the node of the same
+// id that it replaces.
+func newNode(id, addr string, previous *node) *node {
+	n := &node{id: id, addr: addr, listed: true, latestConn: &atomic.Pointer[trackedConn]{}}
+	if previous != nil {
+		n.startLimit = previous.startLimit
+	} else {
+		n.startLimit = &atomic.Pointer[startLimit]{}
+	}
+	return n
+}
+
+// WrittenAttempts returns the number of attempts so far whose ticket has been passed to the kernel
+// whole.
 func (c *Client) WrittenAttempts() int64 { return c.writtenAttempts.Load() }
 
 // New returns a client; Close stops it.
@@ -89,15 +104,18 @@
 	if o.Dialer == nil {
 		o.Dialer = netio.NewDialer()
 	}
-	return &Client{opts: o, multiDialer: dial.New(o.Dialer, o.ConnectTimeout, o.MaxConns, o.Log), nodes: map[string]*node{}, cancelByAttempt: map[broker.AttemptID]context.CancelFunc{}}
+	return &Client{
+		opts: o, multiDialer: dial.New(o.Dialer, o.ConnectTimeout, o.MaxConns, o.Log), nodes: map[string]*node{},
+		tickets: ticketTable{byAttempt: map[broker.AttemptID]*ticket{}},
+	}
 }
 
 // Close cancels all attempts, closes all connections and waits for open calls to end.
 func (c *Client) Close() {
 	c.mu.Lock()
 	c.closed = true
-	for _, cancel := range c.cancelByAttempt {
-		cancel()
+	for _, t := range c.tickets.all() {
+		t.cancel()
 	}
 	for _, n := range c.nodes {
 		c.closeConn(n)
@@ -118,13 +136,14 @@
 		n := c.nodes[listed.ID]
 		addr := strings.TrimPrefix(listed.Addr, broker.FlightScheme)
 		if n == nil || n.addr != addr && n.openCalls > 0 { // calls open at the old address end there
-			n = &node{id: listed.ID, addr: addr}
+			n = newNode(listed.ID, addr, n)
 			c.nodes[listed.ID] = n
 		} else if n.addr != addr {
 			c.closeConn(n)
 			n.addr = addr
 		}
-		n.listed, n.latestStart = true, listed.Latest
+		n.listed = true
+		n.startLimit.Store(&startLimit{listed: true, latest: listed.Latest})
 		n.multiAddr = c.multiDialer.SetAddrs(listed.ID, listed.Addrs)
 		if n.multiAddr { // the address of its connection may have been removed
 			if at := n.connAddr.Load(); at != nil && !c.multiDialer.HasAddr(listed.ID, *at) {
@@ -133,6 +152,9 @@
 		}
 	}
 	for id, n := range c.nodes {
+		if !n.listed {
+			n.startLimit.Store(&startLimit{})
+		}
 		if !n.listed && n.multiAddr { // it is not dialed again
 			c.multiDialer.SetAddrs(id, nil)
 		}
@@ -141,6 +163,9 @@
 			delete(c.nodes, id)
 		}
 	}
+	for _, t := range c.tickets.all() {
+		t.applyNodeLimit()
+	}
 }
 
 // Send implements broker.NodeClient. Flight has no calls of several parts: each part is a
@@ -149,7 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, failed := c.nodeWithConn(id)
-	if n != nil && len(c.cancelByAttempt)+len(attempts) > maxOpenAttempts {
+	if n != nil && c.tickets.count()+len(attempts) > maxOpenAttempts {
 		n, failed = nil, decide.NotSent
 	}
 	for _, a := range attempts {
@@ -158,19 +183,21 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
-		c.cancelByAttempt[a.ID] = cancel
+		t := c.newTicket(a, n, cancel)
+		c.tickets.add(t)
 		n.openCalls++
 		c.goroutines.Add(1)
 		go func(conn *grpc.ClientConn) {
 			defer c.goroutines.Done()
 			sentAt := time.Now()
-			outcome, answer, err := c.runAttemptGuarded(ctx, conn, n, a)
+			outcome, answer, err := c.runAttemptGuarded(ctx, conn, n, t)
+			t.stopLimit()
 			cancel()
 			if err != nil {
 				c.opts.Log.Debug().Str("event", "attempt").Str("node", id).Err(err).Msg("attempt failed")
 			}
+			c.tickets.remove(a.ID)
 			c.mu.Lock()
-			delete(c.cancelByAttempt, a.ID)
 			if at := n.connAddr.Load(); n.multiAddr && at != nil {
 				c.reportOutcome(n, *at, outcome, sentAt)
 			}
@@ -183,10 +210,8 @@
 
 // Cancel implements broker.NodeClient.
 func (c *Client) Cancel(_ string, id broker.AttemptID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if cancel := c.cancelByAttempt[id]; cancel != nil {
-		cancel()
+	if t := c.tickets.get(id); t != nil {
+		t.cancel()
 	}
 }
 
--- a/flightnode/conns.go
+++ b/flightnode/conns.go
@@ -35,7 +35,8 @@
 		n.connAddr.Store(nil)
 		return n
 	}
-	replacement := &node{id: n.id, addr: n.addr, listed: n.listed, latestStart: n.latestStart, multiAddr: n.multiAddr}
+	replacement := newNode(n.id, n.addr, n)
+	replacement.listed, replacement.multiAddr = n.listed, n.multiAddr
 	c.nodes[n.id] = replacement
 	if n.openCalls == 0 {
 		c.closeConn(n)
@@ -68,7 +69,8 @@
 			return nil, err
 		}
 		n.connAddr.Store(&addr)
-		return &greetingCheckConn{Conn: conn, onSilence: func() { c.multiDialer.ReportSilence(n.id, addr, time.Now(), time.Now()) }}, nil
+		checked := &greetingCheckConn{Conn: conn, onSilence: func() { c.multiDialer.ReportSilence(n.id, addr, time.Now(), time.Now()) }}
+		return c.trackConn(n, checked, conn), nil
 	})
 }
 
@@ -79,7 +81,10 @@
 		defer cancel()
 		conn, err := c.opts.Dialer.DialSoleAddress(ctx, "tcp", addr)
 		n.localFailure.Store(netio.IsResourceExhausted(err))
-		return conn, err
+		if err != nil {
+			return nil, err
+		}
+		return c.trackConn(n, conn, conn), nil
 	})
 }
 
--- a/flightnode/invalid_answer_test.go
+++ b/flightnode/invalid_answer_test.go
@@ -56,13 +56,13 @@
 	}
 }
 
-// panickingObserver panics when an attempt has been sent.
+// panickingObserver panics when an attempt has its connection.
 type panickingObserver struct{ broker.WireObserver }
 
 func (panickingObserver) TraceHeaders(broker.AttemptID) (string, string) { return "", "" }
 
 func (panickingObserver) PhaseReached(_ broker.AttemptID, phase broker.WirePhase, _ string, _ time.Time) {
-	if phase == broker.WireSent {
+	if phase == broker.WireConnected {
 		panic("observer")
 	}
 }
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -111,16 +111,33 @@
 // UnackedBytes returns the number of bytes in the send queue of the kernel that the peer's
 // kernel has not acknowledged, or 0 if the system does not report it.
 func (c *Conn) UnackedBytes() int64 {
-	unacked := 0
-	err := c.withFD(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			unacked = n
-		}
-	})
+	unacked := int64(0)
+	if err := c.withFD(func(fd uintptr) { unacked = unackedBytes(fd) }); err != nil {
+		return 0
+	}
+	return unacked
+}
+
+// UnackedBytes is like Conn.UnackedBytes for a connection that is not on a Loop.
+func UnackedBytes(conn syscall.Conn) int64 {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unacked := int64(0)
+	if err := raw.Control(func(fd uintptr) { unacked = unackedBytes(fd) }); err != nil {
+		return 0
+	}
+	return unacked
+}
+
+// unackedBytes returns the number of unacknowledged bytes of a socket, 0 if it is not known.
+func unackedBytes(fd uintptr) int64 {
+	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 	if err != nil {
 		return 0
 	}
-	return int64(unacked)
+	return int64(n)
 }
 
 // AfterFlush calls f on the loop's worker goroutine once all queued bytes have been written. It
--- a/nodeclient/client.go
+++ b/nodeclient/client.go
@@ -27,9 +27,8 @@
 	// connection counts as broken.
 	writeStallTimeout = 250 * time.Millisecond
 	// frameWriteTimeout bounds the writing of a frame: if it is not written to the socket
-	// whole within this time, the connection is closed, because the time-outs in the frame
-	// and the checks made before are valid only for the time at which it was built.
-	frameWriteTimeout = 100 * time.Millisecond
+	// whole within this time, the connection is closed.
+	frameWriteTimeout = dial.RequestWriteTimeout
 	// partialFrameTimeout is how long an incomplete frame may go without further bytes: one
 	// whose length field is too large never ends and blocks every frame behind it.
 	partialFrameTimeout = 300 * time.Millisecond
--- a/nodeclient/delivery.go
+++ b/nodeclient/delivery.go
@@ -1,11 +1,10 @@
 package nodeclient
 
-import "time"
+import (
+	"time"
 
-// deliveryTimeout is how long the node's kernel may take to acknowledge the frame of a
-// cancelled part, counted from the cancellation. Acknowledgements may be delayed by 40 ms,
-// and a part must not begin more than 100 ms after its client has left.
-const deliveryTimeout = 60 * time.Millisecond
+	"onyxsail/dial"
+)
 
 // isDelivered reports whether the node's kernel has acknowledged all bytes up to a stream
 // position. Where the local kernel does not report acknowledgements, all bytes written
@@ -15,7 +14,7 @@
 }
 
 // abortIfUndelivered resets the connection if the frame of a cancelled part is not
-// acknowledged within deliveryTimeout. The local kernel would keep retransmitting it, and the
+// acknowledged within dial.DeliveryTimeout. The local kernel would keep retransmitting it, and the
 // part would begin although it is no longer wanted once the link is back or the node reads
 // again. The other attempts on the connection are blocked as well: their frames are behind
 // that one, or their answers cannot arrive. The client's mu is held.
@@ -24,7 +23,7 @@
 	if cn.isDelivered(end) {
 		return
 	}
-	time.AfterFunc(deliveryTimeout, func() {
+	time.AfterFunc(dial.DeliveryTimeout, func() {
 		cn.client.mu.Lock()
 		defer cn.client.mu.Unlock()
 		if !cn.closed && !cn.isDelivered(end) {
