Keep the library from sending a Flight ticket again by itself

A node that ends its connection and names a part as not worked on gets it again on the next connection, past any window, drain or number of attempts.

Cause: grpc-go's transparent retry, which WithDisableRetry leaves on.

Change: the call keeps nothing to replay (MaxRetryRPCBufferSize(0)).

Evidence: on the code before, TestTicketIsNotSentAgainByTheLibrary waits 20 s for an outcome, as the ticket is out a second time.

--- a/flightnode/conns.go
+++ b/flightnode/conns.go
@@ -156,7 +156,11 @@
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
 			grpc.WithIdleTimeout(time.Duration(idleTimeoutFraction * float64(c.opts.ServerIdleTimeout))),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)), grpc.WithMaxHeaderListSize(maxHeaderBytes),
+			grpc.WithDefaultCallOptions(
+				grpc.MaxCallRecvMsgSize(maxMessageBytes),
+				grpc.MaxRetryRPCBufferSize(0), // a ticket is never sent again by the library
+			),
+			grpc.WithMaxHeaderListSize(maxHeaderBytes),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
 				MinConnectTimeout: c.opts.ConnectTimeout,
--- a/flightnode/flow_control_test.go
+++ b/flightnode/flow_control_test.go
@@ -209,3 +209,21 @@
 	client.expect(1, decide.ConnectionLost)
 	client.expect(2, decide.Unreachable)
 }
+
+// The library must not send a ticket again on another connection by itself when a node says that it
+// has not worked on it.
+func TestTicketIsNotSentAgainByTheLibrary(t *testing.T) {
+	n := newRawNode(t, false)
+	client := newHeldClient(t, n, false)
+	client.send(1, 1, time.Time{})
+	n.waitFor("the request", func() bool { r := n.request(1); return r != nil && r.whole })
+	n.update(func() { _ = n.framers[0].WriteGoAway(0, http2.ErrCodeNo, nil) })
+	client.expect(1, decide.ConnectionLost)
+	client.send(2, 1, time.Time{})
+	n.waitFor("a request on another connection", func() bool { r := n.request(2); return r != nil && r.whole })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.requests) != 2 {
+		t.Errorf("%d requests came, want each once", len(n.requests))
+	}
+}
