Open a Flight stream anew where its headers tell a time that has passed

A part that waited 0.4 s for a node's limit on streams told the node 20.0 s where 19.6 s were left; 0.15 s of slack are allowed.

Cause: grpc-go encodes grpc-timeout before it waits for a stream.

Change: a stream that took over 40 ms to open is reset and opened anew.

Evidence: TestHeadersStateTheTimeLeftAfterTheWaitForAStream fails on the code before ("told 19.999928s where 19.598968475s were left"), and passes 3 times under -race now.

--- a/flightnode/attempt.go
+++ b/flightnode/attempt.go
@@ -26,6 +26,10 @@
 // errPanicked reports that the goroutine of an attempt panicked.
 var errPanicked = errors.New("panic while making an attempt")
 
+// maxStreamWait is how long the opening of a stream may take: its headers state the time that was
+// left before.
+const maxStreamWait = 40 * time.Millisecond
+
 // errTooLate reports that an attempt got its stream when it must no longer start.
 var errTooLate = errors.New("the attempt's latest start has passed, or its node is no longer listed")
 
@@ -115,17 +119,23 @@
 	return ctx
 }
 
-// openStream opens the stream of one attempt. cancel ends it.
+// openStream opens the stream of one attempt. cancel ends it. A stream that took too long to open is
+// replaced by a new one: its headers state more time than is left.
 func openStream(ctx context.Context, conn *grpc.ClientConn) (stream grpc.ClientStream, cancel context.CancelFunc, err error) {
-	ctx, cancel = context.WithCancel(ctx)
-	// NewStream instead of the generated DoGet client, which does not show whether an error
-	// came before or after the ticket was sent.
-	stream, err = conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/arrow.flight.protocol.FlightService/DoGet")
-	if err != nil {
+	for {
+		began := time.Now()
+		streamCtx, cancel := context.WithCancel(ctx)
+		// NewStream instead of the generated DoGet client, which does not show whether an error
+		// came before or after the ticket was sent.
+		stream, err := conn.NewStream(streamCtx, &grpc.StreamDesc{ServerStreams: true}, "/arrow.flight.protocol.FlightService/DoGet")
+		if err == nil && time.Since(began) <= maxStreamWait {
+			return stream, cancel, nil
+		}
 		cancel()
-		return nil, nil, err
+		if err != nil {
+			return nil, nil, err
+		}
 	}
-	return stream, cancel, nil
 }
 
 // encodeTicket returns the ticket of an attempt. The node gets the time that remains now.
--- a/flightnode/flow_control_test.go
+++ b/flightnode/flow_control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -227,3 +228,44 @@
 		t.Errorf("%d requests came, want each once", len(n.requests))
 	}
 }
+
+// timeoutHeader decodes a grpc-timeout header (gRPC over HTTP/2, "Timeout").
+func timeoutHeader(t *testing.T, text string) time.Duration {
+	t.Helper()
+	units := map[byte]time.Duration{'H': time.Hour, 'M': time.Minute, 'S': time.Second, 'm': time.Millisecond, 'u': time.Microsecond, 'n': time.Nanosecond}
+	value, err := strconv.Atoi(strings.TrimRight(text, "HMSmun"))
+	if err != nil || text == "" {
+		t.Fatalf("got grpc-timeout %q, want a number and a unit", text)
+	}
+	return time.Duration(value) * units[text[len(text)-1]]
+}
+
+// An attempt that waits for the node's limit on streams must tell the node the time that is left when
+// its request leaves, with at most 0.15 s of slack.
+func TestHeadersStateTheTimeLeftAfterTheWaitForAStream(t *testing.T) {
+	const timeout, wait, slack = 20 * time.Second, 400 * time.Millisecond, 150 * time.Millisecond
+	n := newRawNode(t, false, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 1})
+	client := newHeldClient(t, n, false)
+	client.send(1, 1, time.Time{})
+	n.waitFor("the first request", func() bool { r := n.request(1); return r != nil && r.whole })
+	sentAt := time.Now()
+	client.Send("n", []broker.Attempt{{ID: 2, Node: "n", RequestID: "q", Shard: 2, Text: []byte("x"), Timeout: timeout}})
+	testkit.Eventually(t, "some time passes", func() bool { return time.Since(sentAt) > wait })
+	n.update(func() { _ = n.framers[0].WriteRSTStream(n.request(1).stream, http2.ErrCodeInternal) })
+	whole := func() *rawRequest {
+		for _, r := range n.requests {
+			if r.headers[attemptHeader] == "2" && r.whole {
+				return r
+			}
+		}
+		return nil
+	}
+	n.waitFor("the second request", func() bool { return whole() != nil })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := whole()
+	left := timeout - r.cameAt.Sub(sentAt)
+	if told := timeoutHeader(t, r.headers["grpc-timeout"]); told > left+slack {
+		t.Errorf("the node was told %v where %v were left, want %v more at most", told, left, slack)
+	}
+}
