Decide whether a connection ends when its last answer is written

Cause: conn.complete decided that the connection ends behind an answer when the answer was ready. It may have to wait for those before it; requests read in the meantime were dispatched and dropped when it was written.

Change: an exchange keeps a function in place of a finished response, and endsBehind alone decides, when the response is written: stop, operator's drain, scarce connections, the client's own Connection: close and rejected requests.

The decision and the write are made under the lock that reading takes.

--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -48,12 +48,14 @@
 	startedAt      time.Time      // when the first byte of the request arrived, as far as known
 	receivedAt     time.Time      // when the request was complete; its deadline counts from here
 	queuedRequest  *http1.Message // not yet processed; nil: processing has started
-	response       []byte         // nil: not known yet
-	done           bool           // response is final
-	closeAfter     bool           // the connection is closed after this response
-	closeRequested bool           // the request has Connection: close
+	render         renderFunc     // nil: the response is not known yet
+	closeRequested bool           // the request has Connection: close, or no request can follow it
 }
 
+// renderFunc returns a response. closeAfter says whether the connection ends behind it, which is
+// known only when it is written.
+type renderFunc func(closeAfter bool) []byte
+
 // Data implements netio.Handler.
 func (c *conn) Data(data []byte) {
 	c.mu.Lock()
@@ -107,10 +109,11 @@
 	}
 	c.inputIgnored = true
 	for _, e := range c.exchanges {
-		if !e.done {
-			e.response = encodeText(nil, http.StatusInternalServerError, "the client ended its side", 0, true)
+		render := e.render
+		if render == nil { // the exchange stays open, so that Closed abandons its query
+			render = textResponse(http.StatusInternalServerError, "the client ended its side")
 		}
-		c.write(e.response)
+		c.write(render(true))
 	}
 	c.closed = true
 }
@@ -248,7 +251,7 @@
 func (c *conn) reject(status int, message string) {
 	c.inputIgnored = true
 	c.front.countRejection(status)
-	c.exchanges = append(c.exchanges, &exchange{done: true, closeAfter: true, response: encodeText(nil, status, message, 0, true)})
+	c.exchanges = append(c.exchanges, &exchange{closeRequested: true, render: textResponse(status, message)})
 	c.writeCompleted()
 }
 
@@ -261,7 +264,7 @@
 		} else if !c.front.Ready() {
 			status, text = http.StatusServiceUnavailable, "not ready"
 		}
-		c.complete(e, func(closeAfter bool) []byte { return encodeText(nil, status, text, 0, closeAfter) })
+		c.complete(e, textResponse(status, text))
 		return
 	}
 	q, err := decodeQuery(m, c.front.classesAt(e.startedAt), c.front.opts.Shards, e.receivedAt)
@@ -271,7 +274,7 @@
 			status = rejected.status
 		}
 		c.front.countRejection(status)
-		c.complete(e, func(closeAfter bool) []byte { return encodeText(nil, status, err.Error(), 0, closeAfter) })
+		c.complete(e, textResponse(status, err.Error()))
 		return
 	}
 	if c.front.opts.Trace && m.Get(tracecontext.TraceparentHeader) != "" {
@@ -285,9 +288,7 @@
 	}
 	id, ok := c.front.opts.Core.Submit(q, c)
 	if !ok {
-		c.complete(e, func(closeAfter bool) []byte {
-			return encodeReply(nil, broker.Reply{Verdict: broker.Refused}, closeAfter)
-		})
+		c.complete(e, replyResponse(broker.Reply{Verdict: broker.Refused}))
 		return
 	}
 	e.queryID = id
@@ -302,8 +303,8 @@
 	defer c.mu.Unlock()
 	defer c.updateQueue()
 	for _, e := range c.exchanges {
-		if e.queryID == id && !e.done {
-			c.complete(e, func(closeAfter bool) []byte { return encodeReply(nil, reply, closeAfter) })
+		if e.queryID == id && e.render == nil {
+			c.complete(e, replyResponse(reply))
 			c.startQueued()
 			c.sendContinue()
 			return
@@ -311,25 +312,31 @@
 	}
 }
 
-// complete sets the response of an exchange, which render returns, and writes what can be
-// written; c.mu is held. While the front drains or connections are scarce, the connection is
-// closed after the response if the client has sent no further request.
-func (c *conn) complete(e *exchange, render func(closeAfter bool) []byte) {
-	closing := c.front.drainRequested() || c.front.nearConnLimit()
-	closing = closing && e == c.exchanges[len(c.exchanges)-1] && c.parser.Buffered() == 0 && !c.sock.HasUnread(c.inData)
-	e.closeAfter = e.closeRequested || closing
-	e.done, e.response = true, render(e.closeAfter)
+// textResponse returns a plain-text response; see encodeText.
+func textResponse(status int, text string) renderFunc {
+	return func(closeAfter bool) []byte { return encodeText(nil, status, text, 0, closeAfter) }
+}
+
+// replyResponse returns the response for the final reply to a query; see encodeReply.
+func replyResponse(reply broker.Reply) renderFunc {
+	return func(closeAfter bool) []byte { return encodeReply(nil, reply, closeAfter) }
+}
+
+// complete sets the response of an exchange and writes what can be written; c.mu is held.
+func (c *conn) complete(e *exchange, render renderFunc) {
+	e.render = render
 	c.writeCompleted()
 }
 
 // writeCompleted writes the responses of the completed exchanges up to the first open one;
 // c.mu is held.
 func (c *conn) writeCompleted() {
-	for len(c.exchanges) > 0 && c.exchanges[0].done && !c.closed {
+	for len(c.exchanges) > 0 && c.exchanges[0].render != nil && !c.closed {
 		e := c.exchanges[0]
 		c.exchanges = c.exchanges[1:]
-		c.write(e.response)
-		if e.closeAfter {
+		closeAfter := c.endsBehind(e)
+		c.write(e.render(closeAfter))
+		if closeAfter {
 			c.inputIgnored = true
 			c.closeWriteAfterFlush()
 			return
@@ -337,6 +344,21 @@
 	}
 }
 
+// endsBehind decides whether the connection ends behind the response of an exchange that is about to
+// be written and has been taken from the list; c.mu is held. It is the only place that does. While
+// the front drains or connections are scarce, the connection ends if no request is left: neither
+// in work, nor read in part, nor waiting to be read. One that is read while the response waits for
+// those before it is answered as well.
+func (c *conn) endsBehind(e *exchange) bool {
+	if e.closeRequested {
+		return true // nothing is read behind it
+	}
+	if !c.front.drainRequested() && !c.front.nearConnLimit() {
+		return false
+	}
+	return len(c.exchanges) == 0 && c.parser.Buffered() == 0 && !c.sock.HasUnread(c.inData)
+}
+
 // write sends data unless the connection is closed; c.mu is held.
 func (c *conn) write(data []byte) {
 	if c.closed {
@@ -383,7 +405,7 @@
 	c.exchanges = nil
 	c.mu.Unlock()
 	for _, e := range exchanges {
-		if !e.done && e.queryID != 0 {
+		if e.render == nil && e.queryID != 0 {
 			c.front.opts.Core.Leave(e.queryID)
 		}
 	}
--- a/httpfront/race_test.go
+++ b/httpfront/race_test.go
@@ -186,6 +186,57 @@
 	})
 }
 
+// A request that is read while a response waits for those before it must be answered, even if the
+// connection is to be closed with a response: it was forwarded, and dropped when that response was
+// written.
+func TestRequestReadBehindAWaitingResponseIsAnswered(t *testing.T) {
+	for cause, apply := range map[string]func(*Front){
+		"stop":               func(f *Front) { f.draining.Store(true) },
+		"operator's drain":   func(f *Front) { f.SetOperatorDrain(true) },
+		"scarce connections": func(f *Front) { f.SetMaxConns(1) },
+	} {
+		for name, second := range map[string]string{"query": queryWithID("b"), "invalid request": "PUT /screen HTTP/1.1\r\nHost: a\r\n\r\n"} {
+			t.Run(cause+", "+name, func(t *testing.T) {
+				f, core := start(t)
+				client, in := dial(t, f)
+				if name == "query" {
+					send(t, client, queryWithID("a")+second)
+					testkit.Eventually(t, "the first queries are submitted", func() bool { return core.submitted() == 2 })
+					apply(f)
+					core.reply(2, broker.Reply{Verdict: broker.Served}) // waits for the first
+				} else {
+					send(t, client, queryWithID("a"))
+					testkit.Eventually(t, "the first query is submitted", func() bool { return core.submitted() == 1 })
+					apply(f)
+					send(t, client, second)
+				}
+				c := f.openConns()[0]
+				testkit.Eventually(t, "both requests are read", func() bool {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					return len(c.exchanges) == 2 && c.parser.Buffered() == 0
+				})
+				before := core.submitted()
+				send(t, client, queryWithID("c"))
+				testkit.Eventually(t, "the last query is submitted", func() bool { return core.submitted() == before+1 })
+				core.reply(1, broker.Reply{Verdict: broker.Served})
+				for range 2 {
+					if res, _ := readResponse(t, in); res.Close {
+						t.Errorf("a response with status %d ends the connection before the last one", res.StatusCode)
+					}
+				}
+				core.reply(broker.QueryID(before+1), broker.Reply{Verdict: broker.Served})
+				if res, _ := readResponse(t, in); res.StatusCode != http.StatusOK || !res.Close {
+					t.Errorf("last response: status %d close %v, want 200 and the connection's end", res.StatusCode, res.Close)
+				}
+				if _, err := in.ReadByte(); err != io.EOF {
+					t.Errorf("behind the last response: got %v, want the end of the stream", err)
+				}
+			})
+		}
+	}
+}
+
 // A request that arrives after the connection was shut down must not be submitted, and the
 // client must see the end of the stream rather than a reset.
 func TestRequestAfterConnectionCloseIsNotSubmitted(t *testing.T) {
