Do not end a connection behind an answer while others wait for its socket

A request that was read while an answer with Connection: close waited for a full socket was dropped.

Cause: closeWriteAfterFlush ends the connection when all is written, but input is ignored from the decision on.

Change: endsBehind asks for an empty backlog; the connection ends behind a later answer, or when it rests.

Evidence: TestRequestReadBehindUnwrittenResponsesIsAnswered never sees the query submitted on the code before; it passes under -race now.

--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -357,7 +357,8 @@
 // be written and has been taken from the list; c.mu is held. It is the only place that does. While
 // the front drains or connections are scarce, the connection ends if no request is left: neither
 // in work, nor read in part, nor waiting to be read. One that is read while the response waits for
-// those before it is answered as well.
+// those before it is answered as well. Nor does it end while earlier responses wait for the socket:
+// what is read until they are written could not be answered.
 func (c *conn) endsBehind(e *exchange) bool {
 	if e.closeRequested {
 		return true // nothing is read behind it
@@ -365,7 +366,7 @@
 	if !c.front.drainRequested() && !c.front.nearConnLimit() {
 		return false
 	}
-	return len(c.exchanges) == 0 && c.parser.Buffered() == 0 && !c.sock.HasUnread(c.inData)
+	return len(c.exchanges) == 0 && c.sock.Backlog() == 0 && c.parser.Buffered() == 0 && !c.sock.HasUnread(c.inData)
 }
 
 // write sends data unless the connection is closed; c.mu is held.
--- a/httpfront/race_test.go
+++ b/httpfront/race_test.go
@@ -237,6 +237,39 @@
 	}
 }
 
+// A request that is read while earlier responses wait for a full socket must be answered, even if
+// the connection is to be closed with a response: it was dropped until they had been written.
+func TestRequestReadBehindUnwrittenResponsesIsAnswered(t *testing.T) {
+	f, core := start(t)
+	client, in := dial(t, f)
+	value := strings.Repeat("v", 60<<10) // close to the maximum response size
+	requests := 0
+	submit := func() {
+		send(t, client, queryWithID(fmt.Sprint("a", requests)))
+		requests++
+		testkit.Eventually(t, "the query is submitted", func() bool { return core.submitted() == requests })
+	}
+	reply := func() {
+		core.reply(broker.QueryID(requests), broker.Reply{Verdict: broker.Served, Values: []broker.Value{{Shard: 3, Data: []byte(value)}}})
+	}
+	submit()
+	reply()
+	for f.openConns()[0].sock.Backlog() == 0 && requests < 1000 { // until the socket buffers are full
+		submit()
+		reply()
+	}
+	submit()
+	f.draining.Store(true)
+	reply()
+	submit()
+	reply()
+	for i := range requests {
+		if res, body := readResponse(t, in); res.StatusCode != http.StatusOK || len(body) < len(value) || res.Close && i < requests-1 {
+			t.Fatalf("response %d of %d: status %d, %d bytes, close %v, want a whole answer to each request", i, requests, res.StatusCode, len(body), res.Close)
+		}
+	}
+}
+
 // A queued request must be processed even if the one before it is answered at once when its turn
 // comes: it was never answered, as the list of requests was changed while it was walked.
 func TestQueuedRequestBehindOneAnsweredAtOnceIsProcessed(t *testing.T) {
