Say Connection: close in the last answer to a half-closed client alone

A client that sent requests ahead and closed its side got Connection: close in each answer, so one that goes by it reads the first alone.

Change: handlePeerEnd says it in the last answer.

Evidence: TestHalfClosedClientGetsResponses asks for it and fails on the code before in both its phases; it passes under -race now.

--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -108,12 +108,12 @@
 		return
 	}
 	c.inputIgnored = true
-	for _, e := range c.exchanges {
+	for i, e := range c.exchanges {
 		render := e.render
 		if render == nil { // the exchange stays open, so that Closed abandons its query
 			render = textResponse(http.StatusInternalServerError, "the client ended its side")
 		}
-		c.write(render(true))
+		c.write(render(i == len(c.exchanges)-1)) // a client reads no response behind one with Connection: close
 	}
 	c.closed = true
 }
--- a/httpfront/protocol_test.go
+++ b/httpfront/protocol_test.go
@@ -118,6 +118,9 @@
 			if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode == http.StatusOK {
 				t.Errorf("%s: response %d: status %d, error %v, want an error status and a complete body", phase, i, res.StatusCode, err)
 			}
+			if res.Close != (i == 1) {
+				t.Errorf("%s: response %d: close %v, want it with the last response alone", phase, i, res.Close)
+			}
 		}
 		if phase == "being processed" {
 			testkit.Eventually(t, "both queries are abandoned", func() bool {
