Write answers that are due at once as far as the socket takes them

Cause: all were written at once, 1 MiB where a connection may have 512 KiB waiting; netio closes it then.

Change: writeCompleted stops over 128 KiB and goes on when they have left. A connection with answers due is closed when its client has read nothing for 5 s.

--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -29,6 +29,7 @@
 	dataReceived    bool        // at least one byte has been received
 	requestReceived bool        // at least one complete request has been received
 	queuedBodyBytes int         // total body size of the queued requests
+	writeResumedAt  time.Time   // when the socket last took all waiting responses while more were due
 	inData          bool        // Data is running
 	inputIgnored    bool        // further input is read and discarded
 	writeClosed     bool        // our side of the stream is closed, or will be once all is written
@@ -171,6 +172,8 @@
 	switch {
 	case c.writeClosed:
 		return stateHalfClosed
+	case len(c.exchanges) > 0 && c.exchanges[0].render != nil:
+		return stateWriting
 	case len(c.exchanges) > 0:
 		return stateActive
 	case c.parser.InMessage():
@@ -181,15 +184,17 @@
 	return stateIdle
 }
 
-// updateQueue moves the connection to the queue of its current state, or to the end of the
-// queue of readers if a new request has started; c.mu is held. A closed connection is removed
-// from its queue.
+// updateQueue moves the connection to the queue of its current state, or to the end of its queue
+// if a new request has started or the client has read responses; c.mu is held. A closed connection
+// is removed from its queue.
 func (c *conn) updateQueue() {
 	f, current := c.front, c.currentState()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.queueElem != nil {
-		if c.queueState == current && !(current == stateReading && c.queuedAt.Before(c.requestStart)) {
+		progressed := current == stateReading && c.queuedAt.Before(c.requestStart) ||
+			current == stateWriting && c.queuedAt.Before(c.writeResumedAt)
+		if c.queueState == current && !progressed {
 			return
 		}
 		f.queues[c.queueState].Remove(c.queueElem)
@@ -203,8 +208,9 @@
 
 // endIfInState ends the connection if it is still in the given state, and reports whether it
 // did. As a request may arrive at any moment, a new or idle connection only has its sending
-// side closed, and a partly received request gets an error response. A half-closed connection
-// is closed, unless the client still has time to read a response.
+// side closed, and a partly received request gets an error response. A half-closed connection, or
+// one with responses that the client does not read, is closed, unless the client still has time to
+// read them.
 func (c *conn) endIfInState(state connState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -217,7 +223,7 @@
 		return c.endIdle()
 	case stateReading:
 		c.reject(http.StatusRequestTimeout, "the request did not become whole")
-	case stateHalfClosed:
+	case stateHalfClosed, stateWriting:
 		if c.sock.Backlog() > 0 && time.Since(c.queuedAt) < unreadResponseTimeout {
 			return false
 		}
@@ -337,10 +343,14 @@
 	c.writeCompleted()
 }
 
-// writeCompleted writes the responses of the completed exchanges up to the first open one;
-// c.mu is held.
+// writeCompleted writes the responses of the completed exchanges up to the first open one; c.mu is
+// held. If many become due at once, it goes on when the socket has taken those written so far.
 func (c *conn) writeCompleted() {
-	for len(c.exchanges) > 0 && c.exchanges[0].render != nil && !c.closed {
+	for len(c.exchanges) > 0 && c.exchanges[0].render != nil && !c.closed && !c.writeClosed {
+		if c.sock.Backlog() > maxResponseBacklog {
+			c.sock.AfterFlush(c.resumeWriting)
+			return
+		}
 		e := c.exchanges[0]
 		c.exchanges = c.exchanges[1:]
 		closeAfter := c.endsBehind(e)
@@ -353,6 +363,17 @@
 	}
 }
 
+// resumeWriting writes the responses that waited for the socket.
+func (c *conn) resumeWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer c.updateQueue()
+	c.writeResumedAt = time.Now()
+	c.writeCompleted()
+	c.startQueued()
+	c.sendContinue()
+}
+
 // endsBehind decides whether the connection ends behind the response of an exchange that is about to
 // be written and has been taken from the list; c.mu is held. It is the only place that does. While
 // the front drains or connections are scarce, the connection ends if no request is left: neither
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -30,6 +30,7 @@
 	maxActivePerConn      = 16                      // requests of one connection that are processed at once
 	maxPipelined          = 64                      // unanswered requests of one connection; further ones are rejected
 	maxQueuedBodyBytes    = 128 << 10               // bytes of the bodies of pipelined requests that are not yet processed
+	maxResponseBacklog    = 128 << 10               // bytes of responses that wait for the socket, from which on further ones are held back
 	summaryInterval       = 10 * time.Second        // between log messages about rejected requests and evicted connections
 	firstByteTimeout      = 1500 * time.Millisecond // from the accept to the first byte
 	requestReadTimeout    = 2500 * time.Millisecond // to receive a request that has started; some clients take 2 s
@@ -65,6 +66,7 @@
 	stateReading                     // the rest of a request
 	stateIdle                        // the next request
 	stateHalfClosed                  // the client to close its side; ours is closed
+	stateWriting                     // the client to read responses, while more are due
 	stateCount      = iota           // number of states
 )
 
@@ -350,7 +352,9 @@
 	if f.connSlots.usageAbove(4) {
 		idleLimit = crowdedIdleTimeout
 	}
-	for s, limit := range map[connState]time.Duration{stateNew: firstByteTimeout, stateIdle: idleLimit, stateHalfClosed: lingerTimeout} {
+	for s, limit := range map[connState]time.Duration{
+		stateNew: firstByteTimeout, stateIdle: idleLimit, stateHalfClosed: lingerTimeout, stateWriting: unreadResponseTimeout,
+	} {
 		for _, c := range f.connsInState(s, limit) {
 			c.endIfInState(s)
 		}
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -71,7 +71,13 @@
 // startWithListener starts a front on a listener that the test may wrap.
 func startWithListener(t *testing.T, wrap func(listener) listener) (*Front, *fakeCore, *netio.Loop) {
 	t.Helper()
-	loop, err := netio.New(64 << 20)
+	return startWithWriteBuffer(t, 64<<20, wrap)
+}
+
+// startWithWriteBuffer is like startWithListener, with a limit on the unwritten bytes of a connection.
+func startWithWriteBuffer(t *testing.T, maxWrite int, wrap func(listener) listener) (*Front, *fakeCore, *netio.Loop) {
+	t.Helper()
+	loop, err := netio.New(maxWrite)
 	if err != nil {
 		t.Fatal(err)
 	}
