Keep the applied configuration over a restart of an instance

Cause: Raft applies its log again only once a leader tells how much of it is committed, and the state machine showed what it had so far.

Change: an instance saves each state that it applies before it shows it, shows the saved one from its start on, and replayed ones only beyond it.

--- a/store/state.go
+++ b/store/state.go
@@ -104,26 +104,77 @@
 	Roster *Roster `json:"roster,omitempty"`
 }
 
-// stateMachine is the state machine to which Raft applies the log.
+// stateMachine is the state machine to which Raft applies the log. After a restart Raft applies
+// again what this instance had applied before: until that is done, the state that it had then is
+// the one that is published, so that the configuration never goes back.
 type stateMachine struct {
-	mu       sync.Mutex
-	state    State
-	onChange func(State)
+	saving    sync.Mutex // held while a state is saved; taken before mu
+	mu        sync.Mutex
+	applied   appliedState // after the latest entry that Raft applied
+	published appliedState // what this instance shows
+	unsaved   bool         // published is not on disk yet
+	save      func(appliedState) error
+	onChange  func(State)
 }
 
-// get returns the current state.
+// get returns the published state.
 func (m *stateMachine) get() State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.state
+	return m.published.State
 }
 
-// put sets the state and calls onChange with it.
-func (m *stateMachine) put(s State) {
+// setApplied sets the state after an entry, or of a snapshot, and publishes it if it is newer than
+// the published one. Raft calls it from one goroutine.
+func (m *stateMachine) setApplied(state appliedState) {
 	m.mu.Lock()
-	m.state = s
+	m.applied = state
+	newer := m.isNewer(state)
 	m.mu.Unlock()
-	m.onChange(s)
+	if newer {
+		m.publish(state)
+		m.onChange(state.State)
+	}
+}
+
+// isNewer reports whether a state comes after the published one; m.mu is held. A snapshot of an
+// earlier release has no index.
+func (m *stateMachine) isNewer(state appliedState) bool {
+	if state.Index == 0 {
+		return state.Config.Version > m.published.Config.Version
+	}
+	return state.Index > m.published.Index
+}
+
+// publish saves a state and then publishes it. If the disk does not take it, saveIfUnsaved does so
+// later.
+func (m *stateMachine) publish(state appliedState) {
+	m.saving.Lock()
+	defer m.saving.Unlock()
+	err := m.save(state)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.published, m.unsaved = state, err != nil
+}
+
+// saveIfUnsaved saves the published state if that has not been possible yet. It returns the error of
+// the attempt.
+func (m *stateMachine) saveIfUnsaved() error {
+	m.saving.Lock()
+	defer m.saving.Unlock()
+	m.mu.Lock()
+	state, unsaved := m.published, m.unsaved
+	m.mu.Unlock()
+	if !unsaved {
+		return nil
+	}
+	if err := m.save(state); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unsaved = false
+	return nil
 }
 
 // Apply implements raft.FSM. It returns the new State, or an error that leaves the state as it
@@ -134,7 +185,9 @@
 	if err := json.Unmarshal(l.Data, &c); err != nil {
 		return fmt.Errorf("log entry %d: %w", l.Index, err)
 	}
-	s := m.get()
+	m.mu.Lock()
+	s := m.applied.State
+	m.mu.Unlock()
 	switch {
 	case c.Patch != nil:
 		if v := c.Patch.IfVersion; v != nil && *v != s.Config.Version {
@@ -144,30 +197,34 @@
 	case c.Roster != nil:
 		s.Roster = *c.Roster
 	}
-	m.put(s)
+	m.setApplied(appliedState{Index: l.Index, State: s})
 	return s
 }
 
 // Snapshot implements raft.FSM.
-func (m *stateMachine) Snapshot() (raft.FSMSnapshot, error) { return snapshot(m.get()), nil }
+func (m *stateMachine) Snapshot() (raft.FSMSnapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return snapshot(m.applied), nil
+}
 
 // Restore implements raft.FSM.
 func (m *stateMachine) Restore(r io.ReadCloser) error {
 	defer r.Close()
-	var s State
+	var s appliedState
 	if err := json.NewDecoder(r).Decode(&s); err != nil {
 		return fmt.Errorf("reading a snapshot: %w", err)
 	}
-	m.put(s)
+	m.setApplied(s)
 	return nil
 }
 
 // snapshot is a copy of the state that Raft writes to disk or sends to a follower.
-type snapshot State
+type snapshot appliedState
 
 // Persist implements raft.FSMSnapshot.
 func (s snapshot) Persist(sink raft.SnapshotSink) error {
-	if err := json.NewEncoder(sink).Encode(State(s)); err != nil {
+	if err := json.NewEncoder(sink).Encode(appliedState(s)); err != nil {
 		_ = sink.Cancel()
 		return fmt.Errorf("writing a snapshot: %w", err)
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -89,6 +89,8 @@
 	stop         chan struct{}
 	wg           sync.WaitGroup
 
+	diskErrorLoggedAt time.Time // used by maintain alone
+
 	mu            sync.Mutex
 	latestRoster  *Roster // the latest roster of this instance's broker; nil: none yet
 	rosterChanged chan struct{}
@@ -99,18 +101,37 @@
 	if o.OnChange == nil {
 		o.OnChange = func(State) {}
 	}
+	file := newAppliedFile(o.Dir)
 	s := &Store{
-		opts: o, stateMachine: &stateMachine{state: State{Config: Defaults()}, onChange: o.OnChange},
+		opts: o, stateMachine: &stateMachine{save: file.save, onChange: o.OnChange},
 		stop: make(chan struct{}), rosterChanged: make(chan struct{}, 1),
 	}
+	if err := s.restoreApplied(file); err != nil {
+		return nil, fmt.Errorf("opening the store: %w", err)
+	}
 	if err := s.open(); err != nil {
 		return nil, errors.Join(fmt.Errorf("opening the store: %w", err), s.closeResources())
 	}
 	s.wg.Add(1)
-	go s.writeRosters()
+	go s.maintain()
 	return s, nil
 }
 
+// restoreApplied publishes the state that this instance had applied when it was last running. Raft
+// applies its log again on top of the defaults.
+func (s *Store) restoreApplied(file *appliedFile) error {
+	saved, err := file.load()
+	if err != nil {
+		return err
+	}
+	s.stateMachine.applied = appliedState{State: State{Config: Defaults()}}
+	s.stateMachine.published = saved
+	if saved.Index > 0 {
+		s.opts.OnChange(saved.State)
+	}
+	return nil
+}
+
 func (s *Store) open() error {
 	o := &s.opts
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
@@ -173,7 +194,8 @@
 	return err
 }
 
-// State returns this instance's copy of the state, which may lag behind the leader's.
+// State returns this instance's copy of the state, which may lag behind the leader's. It never goes
+// back, over restarts too.
 func (s *Store) State() State { return s.stateMachine.get() }
 
 // Leader returns the leader, or false if none is known.
@@ -247,9 +269,9 @@
 	}
 }
 
-// writeRosters proposes the latest roster while this instance is the leader, until the store
-// closes.
-func (s *Store) writeRosters() {
+// maintain proposes the latest roster while this instance is the leader, and saves an applied state
+// that the disk did not take, until the store closes.
+func (s *Store) maintain() {
 	defer s.wg.Done()
 	tick := time.NewTicker(rosterWriteInterval)
 	defer tick.Stop()
@@ -260,6 +282,9 @@
 		case <-s.rosterChanged:
 		case <-tick.C: // this instance may have become the leader in the meantime
 		}
+		if err := s.stateMachine.saveIfUnsaved(); err != nil {
+			s.logDiskError(err)
+		}
 		s.mu.Lock()
 		r := s.latestRoster
 		s.mu.Unlock()
@@ -277,6 +302,15 @@
 	}
 }
 
+// logDiskError logs, once per diskLogInterval at most, that the applied state could not be saved. Only
+// maintain calls it.
+func (s *Store) logDiskError(err error) {
+	if now := time.Now(); now.Sub(s.diskErrorLoggedAt) >= diskLogInterval {
+		s.diskErrorLoggedAt = now
+		s.opts.Log.Error().Str("event", "store-disk").Err(err).Msg("saving the applied configuration failed; a restart would show an older one until a leader is known")
+	}
+}
+
 // Close transfers the leadership if this instance has it, and shuts the instance down.
 func (s *Store) Close() error {
 	close(s.stop)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -29,6 +29,9 @@
 	diskError     atomic.Pointer[syscall.Errno]   // the error of all disk writes; nil: they succeed
 	failedWrites  atomic.Int64                    // the number of failed writes
 	onLogsWritten atomic.Pointer[func(index int)] // called when an instance has written log entries to its disk, before it replicates them
+
+	shownMu sync.Mutex
+	shown   map[int][]store.State // by instance, what it has reported since its start
 }
 
 // failingDisk fails writes while its group has a diskError.
@@ -67,7 +70,7 @@
 
 // newGroup starts the instances of a group. They are stopped when the test ends.
 func newGroup(t *testing.T) *group {
-	g := &group{t: t, stores: make([]*store.Store, 3)}
+	g := &group{t: t, stores: make([]*store.Store, 3), shown: map[int][]store.State{}}
 	var listeners []net.Listener
 	for i, name := range []string{"a", "b", "c"} {
 		// Each instance has a loopback address of its own, so that no other test can get its
@@ -95,7 +98,15 @@
 // timeouts and a log that is compacted after a few entries.
 func (g *group) start(i int, l net.Listener) {
 	g.t.Helper()
+	g.shownMu.Lock()
+	g.shown[i] = nil
+	g.shownMu.Unlock()
 	s, err := store.Open(store.Options{
+		OnChange: func(state store.State) {
+			g.shownMu.Lock()
+			defer g.shownMu.Unlock()
+			g.shown[i] = append(g.shown[i], state)
+		},
 		Name: g.peers[i].Name, Dir: g.dirs[i], Peers: g.peers, Log: zerolog.New(io.Discard), Listener: l,
 		WrapDisk: func(d store.Disk) store.Disk { return failingDisk{d, g, i} },
 		TuneRaft: func(c *raft.Config) {
