Scale a query's shares so that they add up to one

Callers saw: a query of three parts of share 0.333, all of them answered, got 503.

Cause: the front takes rounded shares, 0.999 in all; the module and the core count a query as complete with 0.0001 less than its class needs.

Change: DecodeBody scales the shares by their sum.

Evidence: TestQueryWithRoundedSharesIsServed, unchanged, failed on the code before for frames, Flight and both, and passes 3 times now; the sums in TestRoundedSharesAddUpToOne were 0.999, 0.9999999 and 1.0005.

--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -90,9 +90,18 @@
 	if math.Abs(sum-1) > shareSumTolerance+shareTolerancePerPart*float64(len(b.Targets)) {
 		return fmt.Errorf("targets: the shares add up to %.4g, want 1", sum)
 	}
+	scaleShares(q.Parts, sum)
 	return nil
 }
 
+// scaleShares makes shares that clients have rounded, and that add up to sum, add up to 1: the
+// decisions count a query as complete by the shares of the parts that are answered.
+func scaleShares(parts []broker.Part, sum float64) {
+	for i := range parts {
+		parts[i].Share /= sum
+	}
+}
+
 // ValidateName returns an error, meant for the client, unless name is a valid query id or key:
 // its characters must be safe in a line of a frame. field names the value in the error.
 func ValidateName(field, name string) error {
