Let no instance with an empty directory begin a group or vote unsafely

Cause: store.open let each instance without state begin the group and vote. Nothing told a new group from a lost disk.

Change: instances ask each other how far their logs go. A group begins only when all are there and empty; any other empty one is joining until it has applied an entry of the current term: it does not stand, and votes only where all others answer and none knows more than the candidate or stood in that term.

--- a/store/store.go
+++ b/store/store.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -85,6 +85,10 @@
 	opts         Options
 	stateMachine *stateMachine
 	raft         *raft.Raft
+	startedRaft  atomic.Pointer[raft.Raft] // raft, for goroutines that run before it is set; nil until then
+	disk         Disk
+	snapshots    raft.SnapshotStore
+	joining      *joiningMark
 	closers      []func() error
 	stop         chan struct{}
 	wg           sync.WaitGroup
@@ -157,10 +161,10 @@
 		}
 		o.Listener = l
 	}
-	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		Stream: &streamLayer{o.Listener}, MaxPool: maxPooledConns, Timeout: applyTimeout, Logger: log,
+	network := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+		Stream: &streamLayer{newStatusListener(o.Listener, s.answerPeer)}, MaxPool: maxPooledConns, Timeout: applyTimeout, Logger: log,
 	})
-	s.closers = append(s.closers, transport.Close)
+	s.closers = append(s.closers, network.Close)
 	db, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(o.Dir, "raft.db")})
 	if err != nil {
 		return err
@@ -171,6 +175,7 @@
 		disk = o.WrapDisk(disk)
 	}
 	disk = &retryingDisk{Disk: disk, stop: s.stop, log: o.Log}
+	s.disk = disk
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(o.Dir, retainedSnapshots, log)
 	if err != nil {
 		return err
@@ -185,13 +190,21 @@
 	if err != nil {
 		return err
 	}
-	if !hasState { // all instances have the same configured members, so each may bootstrap itself
-		if err := raft.BootstrapCluster(cfg, disk, disk, snaps, transport, servers); err != nil {
-			return err
-		}
+	s.snapshots = snaps
+	if s.joining, err = loadJoiningMark(o.Dir, hasState); err != nil {
+		return err
 	}
-	s.raft, err = raft.NewRaft(cfg, s.stateMachine, disk, disk, snaps, transport)
-	return err
+	transport := newGatedTransport(network, s)
+	s.closers = append(s.closers, transport.stop)
+	if s.raft, err = raft.NewRaft(cfg, s.stateMachine, disk, disk, snaps, transport); err != nil {
+		return err
+	}
+	s.startedRaft.Store(s.raft)
+	s.wg.Go(s.awaitCatchUp)
+	if !hasState && o.Name == o.Peers[0].Name {
+		s.wg.Go(func() { s.bootstrap(servers) })
+	}
+	return nil
 }
 
 // State returns this instance's copy of the state, which may lag behind the leader's. It never goes
@@ -331,12 +344,3 @@
 	}
 	return err
 }
-
-// streamLayer is a raft.StreamLayer that accepts on an open listener and dials over TCP.
-type streamLayer struct{ net.Listener }
-
-// Dial implements raft.StreamLayer.
-func (l *streamLayer) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
-	return d.DialContext(context.Background(), "tcp", string(addr))
-}
