Count an address whose server takes no ticket as silent

A node of several addresses that held tickets at one of them was no longer reported as silent there, as the attempt ended as never sent.

Change: what the end of an attempt shows about its address is told apart from its outcome.

--- a/flightnode/addresses_test.go
+++ b/flightnode/addresses_test.go
@@ -100,6 +100,26 @@
 	})
 }
 
+// An address whose server takes no ticket must be avoided like one that does not answer.
+func TestAddressThatTakesNoTicketIsAvoided(t *testing.T) {
+	c, _ := newTestClient(t)
+	s := c.opts.Sink.(*sink)
+	holding, good := newRawNode(t, false), testkit.NewNode(t, "n", true)
+	c.Update([]broker.Node{{ID: "n", Addr: holding.addr, Addrs: []string{holding.addr, good.Addr}}})
+	c.Send("n", []broker.Attempt{{ID: 1, RequestID: "q", Shard: 1, Text: make([]byte, largeQuery), Timeout: time.Minute}})
+	testkit.Eventually(t, "the first attempt ends", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.outcomes[1]) == 1
+	})
+	if got := s.outcomes[1][0]; got != decide.Unreachable {
+		t.Errorf("outcome %d, want one that proves that the part never ran", got)
+	}
+	if got := sendAndWait(t, c, s, 2, time.Minute); got != decide.OK {
+		t.Errorf("the next attempt: outcome %d, want an answer from the other address", got)
+	}
+}
+
 // A stall on an open stream ends the attempt as timed out; the next one goes to another
 // address.
 func TestStalledAddressIsAvoided(t *testing.T) {
--- a/flightnode/attempt.go
+++ b/flightnode/attempt.go
@@ -33,11 +33,12 @@
 // errTooLate reports that an attempt got its stream when it must no longer start.
 var errTooLate = errors.New("the attempt's latest start has passed, or its node is no longer listed")
 
-// newTicket returns the ticket of an attempt that is about to be made at a node.
+// newTicket returns the ticket of an attempt that is about to be made at a node, on its connection.
 func (c *Client) newTicket(a broker.Attempt, n *node, cancel context.CancelFunc) *ticket {
+	target := n.conn.Target()
 	return &ticket{attempt: a, node: n.startLimit, conns: n.latestConn, cancel: cancel, settled: make(chan struct{}), written: func(at time.Time) {
 		c.writtenAttempts.Add(1)
-		c.notify(a.ID, broker.WireSent, n.addr, at)
+		c.notify(a.ID, broker.WireSent, target, at)
 	}}
 }
 
@@ -67,7 +68,7 @@
 func (c *Client) runAttempt(ctx context.Context, conn *grpc.ClientConn, n *node, t *ticket) (outcome decide.Outcome, answer broker.Response, err error) {
 	id := t.attempt.ID
 	if conn.GetState() != connectivity.Ready {
-		c.notify(id, broker.WireConnecting, n.addr, time.Now())
+		c.notify(id, broker.WireConnecting, conn.Target(), time.Now())
 	}
 	if err := c.waitReady(ctx, conn); err != nil {
 		if n.localFailure.Load() || t.mustNotStart(time.Now()) {
@@ -75,7 +76,7 @@
 		}
 		return decide.Unreachable, answer, err
 	}
-	c.notify(id, broker.WireConnected, n.addr, time.Now())
+	c.notify(id, broker.WireConnected, conn.Target(), time.Now())
 	stream, cancel, err := openStream(c.withHeaders(ctx, id), conn)
 	if err == nil {
 		defer cancel()
--- a/flightnode/client.go
+++ b/flightnode/client.go
@@ -199,7 +199,7 @@
 			c.tickets.remove(a.ID)
 			c.mu.Lock()
 			if at := n.connAddr.Load(); n.multiAddr && at != nil {
-				c.reportOutcome(n, *at, outcome, sentAt)
+				c.reportOutcome(n, *at, t.addressOutcome(outcome), sentAt)
 			}
 			c.release(n)
 			c.mu.Unlock()
--- a/flightnode/ticket.go
+++ b/flightnode/ticket.go
@@ -57,6 +57,7 @@
 	limitAt    time.Time    // when limit fires
 	reported   bool         // written was called
 	nodeAnswer bool         // the node ended the call
+	expired    bool         // it was not written in time
 }
 
 // mustNotStart reports whether it is too late for the attempt to start.
@@ -106,7 +107,11 @@
 // expire ends the call of a ticket that is not written in time. A connection whose writes have been
 // blocked all the time is reset, so that the next attempt gets another one.
 func (t *ticket) expire() {
-	if t.currentState() == ticketWritten {
+	t.mu.Lock()
+	t.expired = t.state != ticketWritten
+	expired := t.expired
+	t.mu.Unlock()
+	if !expired {
 		return
 	}
 	t.cancel()
@@ -234,6 +239,20 @@
 	return outcome
 }
 
+// addressOutcome returns what the outcome of the attempt is as far as it concerns the node's address: a
+// node that does not take a ticket is as silent as one that does not answer.
+func (t *ticket) addressOutcome(outcome decide.Outcome) decide.Outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case outcome == decide.Unreachable && t.expired:
+		return decide.TimedOut
+	case outcome == decide.Unreachable && t.conn != nil: // the connection broke before the ticket was written whole
+		return decide.ConnectionLost
+	}
+	return outcome
+}
+
 // awaitSettled waits until the ticket is written or withdrawn, its connection is closed, or
 // withdrawGrace has passed.
 func (t *ticket) awaitSettled() {
