Review stand-ins: the Flight client gives back what it has read

It sent no WINDOW_UPDATE, which a client that asks more than some thirty times on a connection needs.

--- a/review/standins2/flight.go
+++ b/review/standins2/flight.go
@@ -91,6 +91,9 @@
 			if f.StreamID == stream {
 				a.data = append(a.data, f.Data()...)
 			}
+			if n := uint32(len(f.Data())); n > 0 {
+				err = c.framer.WriteWindowUpdate(0, n)
+			}
 		case *http2.MetaHeadersFrame:
 			for _, h := range f.Fields {
 				if f.StreamID == stream && h.Name == "grpc-status" {
