--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the deploy file's build, then review/build-2.sh"
 	exit 2
 }
-exec bin/review2-standins refused review/6
+exec bin/review2-standins flight review/6
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -10,11 +10,13 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) (broken []string){
-	"refused": playRefused,
-	"step":    playSecondStep,
-	"roster":  playRoster,
-	"flight":  playFlight,
-	"slots":   playSlots,
+	"flight": playFlight,
+	"step":   playSecondStep,
+	"roster": playRoster,
+	"slots":  playSlots,
+	"text":   playText,
+	// Beyond the five.
+	"traces": playTraces,
 }
 
 // init keeps the main goroutine on the process's first thread, which lives as long as the process:
