Refuse texts that the JSON decoder would replace, and fields that stand twice

Cause: query.DecodeBody looked for invalid UTF-8 in the body's bytes; the decoder of encoding/json then replaced escaped half pairs without an error. It also takes the last of two equal names and ignores case. A Flight ticket was decoded twice with it. A look at the bytes can't tell half a pair from a whole one.

--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -31,6 +30,7 @@
 	"onyxsail/internal/flightwire"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
+	"onyxsail/internal/strictjson"
 	"onyxsail/internal/tracecontext"
 )
 
@@ -135,14 +135,21 @@
 // Reply implements broker.Replier.
 func (c replyChan) Reply(_ broker.QueryID, reply broker.Reply) { c <- reply }
 
+// queryTicket is the ticket of a query with all its fields. They are decoded at once, so that its
+// id and its parts come from one reading.
+type queryTicket struct {
+	flightwire.QueryTicket
+	query.Body
+}
+
 // decodeTicket converts a ticket to a query. The error is a gRPC status.
 func (f *Front) decodeTicket(ctx context.Context, ticket []byte) (*broker.Query, error) {
 	now := time.Now()
 	if len(ticket) > maxTicketBytes {
 		return nil, status.Errorf(codes.InvalidArgument, "ticket: %d bytes, want %d at most", len(ticket), maxTicketBytes)
 	}
-	var request flightwire.QueryTicket
-	if err := json.Unmarshal(ticket, &request); err != nil {
+	var request queryTicket
+	if err := strictjson.Unmarshal(ticket, &request); err != nil {
 		return nil, status.Errorf(codes.InvalidArgument, "ticket: %v", err)
 	}
 	class, ok := (*f.classes.Load())[request.Class]
@@ -161,7 +168,7 @@
 		err = query.ValidateName("key", request.Key)
 	}
 	if err == nil {
-		err = query.DecodeBody(q, ticket, f.opts.Shards)
+		err = request.SetParts(q, f.opts.Shards)
 	}
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
--- a/flightfront/front_test.go
+++ b/flightfront/front_test.go
@@ -207,6 +207,33 @@
 	}
 }
 
+// Guards against serving a ticket that says something else than its client: half a surrogate pair
+// was replaced, the last of two equal fields counted, and names matched in any case.
+func TestAmbiguousTicketsAreRejected(t *testing.T) {
+	core, client := start(t)
+	core.reply = &broker.Reply{} // for the tickets that are served after all
+	ctx := context.Background()
+	for name, ticket := range map[string]string{
+		"half a surrogate pair in the text": `{"id":"a","class":"screen","targets":[{"partition":3,"share":1}],"query":"c41e\ud83d77d0"}`,
+		"half a surrogate pair in the id":   `{"id":"a\udcc8","class":"screen","targets":[{"partition":3,"share":1}],"query":"x"}`,
+		"invalid UTF-8":                     "{\"id\":\"a\",\"class\":\"screen\",\"targets\":[{\"partition\":3,\"share\":1}],\"query\":\"\xff\"}",
+		"two ids":                           `{"id":"a","id":"b","class":"screen","targets":[{"partition":3,"share":1}],"query":"x"}`,
+		"text under a name in other case":   `{"id":"a","class":"screen","targets":[{"partition":3,"share":1}],"Query":"x"}`,
+	} {
+		if _, _, err := runQuery(ctx, client, ticket); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("%s: DoGet ended with %v, want InvalidArgument", name, err)
+		}
+		if _, err := client.GetFlightInfo(ctx, &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: []byte(ticket)}); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("%s: GetFlightInfo ended with %v, want InvalidArgument", name, err)
+		}
+	}
+	core.mu.Lock()
+	defer core.mu.Unlock()
+	if len(core.submitted) != 0 {
+		t.Errorf("%d queries were submitted, want 0", len(core.submitted))
+	}
+}
+
 // disconnectedStream is a stream whose client has left.
 type disconnectedStream struct {
 	grpc.ServerStream
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -2,14 +2,13 @@
 package query
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
-	"unicode/utf8"
 
 	"onyxsail/broker"
+	"onyxsail/internal/strictjson"
 )
 
 const (
@@ -29,63 +28,53 @@
 	DeadlineMs float64 // time after which the class's clients give up
 }
 
-// queryTarget is one target in the JSON body. Pointers tell missing fields from zero values.
-type queryTarget struct {
+// target is one target in the JSON body. Pointers tell missing fields from zero values.
+type target struct {
 	Partition *int     `json:"partition"`
 	Share     *float64 `json:"share"`
 	EstUs     *float64 `json:"est_us"`
 	Route     string   `json:"route"`
 }
 
-// queryBody is the JSON body of a query. Query is nil if the field is missing.
-type queryBody struct {
-	Targets []queryTarget `json:"targets"`
-	Query   *string       `json:"query"`
+// Body is the JSON body of a query, or the fields of a Flight ticket that are the same.
+type Body struct {
+	Targets []target `json:"targets"`
+	Text    *string  `json:"query"` // nil: missing
 }
 
-// DecodeBody sets q's parts and text from a query's JSON body; unknown fields are ignored. Shard
-// numbers must be below shardCount unless it is 0. Errors name the invalid field and are meant
-// for the client; q may be partly set then.
+// DecodeBody sets q's parts and text from a query's JSON body, as SetParts does. Errors name the
+// invalid field and are meant for the client; q may be partly set then.
 func DecodeBody(q *broker.Query, data []byte, shardCount int) error {
-	var b queryBody
-	if !utf8.Valid(data) { // the decoder would replace invalid bytes, but the text must reach the nodes unchanged
-		return errors.New("body: not in UTF-8")
-	}
-	if err := json.Unmarshal(data, &b); err != nil {
+	var b Body
+	if err := strictjson.Unmarshal(data, &b); err != nil {
 		return fmt.Errorf("body: %w", err)
 	}
-	if b.Query == nil {
-		return fmt.Errorf("query: missing")
+	return b.SetParts(q, shardCount)
+}
+
+// SetParts sets q's parts and text from a decoded body. Shard numbers must be below shardCount
+// unless it is 0. Errors name the invalid field and are meant for the client; q may be partly set
+// then.
+func (b *Body) SetParts(q *broker.Query, shardCount int) error {
+	if b.Text == nil {
+		return errors.New("query: missing")
 	}
 	if len(b.Targets) == 0 || len(b.Targets) > maxParts {
 		return fmt.Errorf("targets: %d of them, want 1 to %d", len(b.Targets), maxParts)
 	}
-	q.Text = []byte(*b.Query)
+	q.Text = []byte(*b.Text)
 	seen, sum := make(map[int]bool, len(b.Targets)), 0.0
 	for i, t := range b.Targets {
 		if t.Partition == nil || *t.Partition < 0 || shardCount > 0 && *t.Partition >= shardCount || seen[*t.Partition] {
 			return fmt.Errorf("targets[%d].partition: want a shard, each once", i)
 		}
-		if t.Share == nil || !(*t.Share >= 0 && *t.Share <= 1) {
-			return fmt.Errorf("targets[%d].share: want a number from 0 to 1", i)
+		part, err := t.part()
+		if err != nil {
+			return fmt.Errorf("targets[%d].%w", i, err)
 		}
-		seen[*t.Partition] = true
-		sum += *t.Share
-		p := broker.Part{Shard: *t.Partition, Share: *t.Share}
-		if t.EstUs != nil {
-			if !(*t.EstUs >= 0 && *t.EstUs < 1e12) {
-				return fmt.Errorf("targets[%d].est_us: want microseconds", i)
-			}
-			p.EstimatedWorkMs, p.HasEstimate = *t.EstUs/1000, true
-		}
-		if t.Route != "" {
-			route, err := strconv.ParseUint(t.Route, 16, 64)
-			if err != nil || len(t.Route) != 16 {
-				return fmt.Errorf("targets[%d].route: want 16 hex digits", i)
-			}
-			p.Route = route
-		}
-		q.Parts = append(q.Parts, p)
+		seen[part.Shard] = true
+		sum += part.Share
+		q.Parts = append(q.Parts, part)
 	}
 	if math.Abs(sum-1) > shareSumTolerance+shareTolerancePerPart*float64(len(b.Targets)) {
 		return fmt.Errorf("targets: the shares add up to %.4g, want 1", sum)
@@ -94,6 +83,29 @@
 	return nil
 }
 
+// part converts a target whose partition is valid. The error begins with the name of the invalid
+// field.
+func (t *target) part() (broker.Part, error) {
+	if t.Share == nil || !(*t.Share >= 0 && *t.Share <= 1) {
+		return broker.Part{}, errors.New("share: want a number from 0 to 1")
+	}
+	part := broker.Part{Shard: *t.Partition, Share: *t.Share}
+	if t.EstUs != nil {
+		if !(*t.EstUs >= 0 && *t.EstUs < 1e12) {
+			return broker.Part{}, errors.New("est_us: want microseconds")
+		}
+		part.EstimatedWorkMs, part.HasEstimate = *t.EstUs/1000, true
+	}
+	if t.Route != "" {
+		route, err := strconv.ParseUint(t.Route, 16, 64)
+		if err != nil || len(t.Route) != 16 {
+			return broker.Part{}, errors.New("route: want 16 hex digits")
+		}
+		part.Route = route
+	}
+	return part, nil
+}
+
 // scaleShares makes shares that clients have rounded, and that add up to sum, add up to 1: the
 // decisions count a query as complete by the shares of the parts that are answered.
 func scaleShares(parts []broker.Part, sum float64) {
