Read discovery's list, the file and operators' commands as I-JSON too

Two listed nodes whose ids hold different halves of surrogate pairs became one, the last of two equal fields counted, and a socket's path got a replaced character.

Change: the list, the file's fields and the bodies of config.set and trace.* are read with internal/strictjson. An address of a node that is no Unicode is left out and reported as before; known, console and seed stop no start.

Evidence: the three tests of ambiguous names and the new row of TestUnusableAddressKeepsTheOthers fail on the code before.

--- a/config/config.go
+++ b/config/config.go
@@ -23,6 +23,7 @@
 
 	"onyxsail/decide"
 	"onyxsail/discovery"
+	"onyxsail/internal/strictjson"
 	"onyxsail/internal/wire"
 	"onyxsail/tracing"
 )
@@ -292,7 +293,7 @@
 // decode decodes the top level field by field, so that errors name the field.
 func (c *Config) decode(data []byte, f *file) error {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(data, &fields); err != nil {
+	if err := strictjson.UnmarshalParts(data, &fields); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	platform := map[string]any{
@@ -311,6 +312,9 @@
 			c.Warnings = append(c.Warnings, FieldError{name, errUnknownField})
 			continue
 		}
+		if err := checkUnicode(name, fields[name]); err != nil {
+			return err
+		}
 		decoder := json.NewDecoder(bytes.NewReader(fields[name]))
 		if _, strict := operator[name]; strict {
 			decoder.DisallowUnknownFields()
@@ -327,6 +331,17 @@
 	return c.recordForReload(fields)
 }
 
+// checkUnicode returns an error that names the place in a top-level field at which it has text that
+// is no Unicode, which the decoder would replace. Fields that prevent no start, whatever they are,
+// are passed over.
+func checkUnicode(name string, raw json.RawMessage) error {
+	var wrong *strictjson.Error
+	if slices.Contains([]string{"known", "console", "seed"}, name) || !errors.As(strictjson.Check(raw), &wrong) {
+		return nil
+	}
+	return &FieldError{strings.TrimSuffix(name+"."+wrong.Field, "."), wrong.Err}
+}
+
 // errUnknownField is the warning for a field that the program does not know.
 var errUnknownField = errors.New("unknown field, ignored")
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// Guards against names in the file that are read as others: half a surrogate pair was replaced, and
+// the last of two equal fields counted.
+func TestAmbiguousNamesInTheFileAreErrors(t *testing.T) {
+	data := string(testkit.Config("127.0.0.1:1", nil, testkit.Settings(nil), nil))
+	for _, c := range []struct{ field, old, replacement string }{
+		{"settings.classes[0].name", `"name":"screen"`, `"name":"screen\ud83d"`},
+		{"settings.zones[1]", `"banqiao"`, `"banqiao\udcc8"`},
+		{"limits.sockets", `"sockets":`, `"sockets":7,"sockets":`},
+		{"listen", `"listen":`, `"listen":"127.0.0.1:7","listen":`},
+	} {
+		changed := strings.Replace(data, c.old, c.replacement, 1)
+		if changed == data {
+			t.Fatalf("%s is not in the file %s", c.old, data)
+		}
+		if _, err := Parse([]byte(changed), noEnv); err == nil || !strings.Contains(err.Error(), c.field+":") {
+			t.Errorf("%s: got %v, want an error of this field", c.field, err)
+		}
+	}
+}
+
 // Guards against an invalid field being accepted, and against errors that do not name it.
 func TestErrorsNameTheField(t *testing.T) {
 	flight := map[string]any{"listen": "127.0.0.1:1"}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -20,6 +19,7 @@
 	"onyxsail/broker"
 	"onyxsail/decide"
 	"onyxsail/flightfront"
+	"onyxsail/internal/strictjson"
 	"onyxsail/reach"
 	"onyxsail/store"
 	"onyxsail/tracing"
@@ -238,9 +238,7 @@
 // JSON. Its errors are Flight statuses.
 func (d *Daemon) setConfig(body []byte) ([]byte, error) {
 	var patch store.Patch
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&patch); err != nil {
+	if err := strictjson.UnmarshalKnown(body, &patch); err != nil {
 		return nil, status.Errorf(codes.InvalidArgument, "configuration: %v", err)
 	}
 	c, err := d.store.SetConfig(patch)
--- a/daemon/trace.go
+++ b/daemon/trace.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"onyxsail/flightfront"
+	"onyxsail/internal/strictjson"
 	"onyxsail/tracing/record"
 )
 
@@ -28,9 +28,7 @@
 func ParseFilter(body []byte) (record.Filter, error) {
 	filter := record.Filter{Limit: maxTracesPerRead}
 	if len(body) > 0 {
-		decoder := json.NewDecoder(bytes.NewReader(body))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&filter); err != nil {
+		if err := strictjson.UnmarshalKnown(body, &filter); err != nil {
 			return filter, status.Errorf(codes.InvalidArgument, "filter: %v", err)
 		}
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// Guards against two nodes that become one: half surrogate pairs in their ids were replaced by the
+// same character, and the last of two equal fields counted.
+func TestListWithAmbiguousNamesIsRejected(t *testing.T) {
+	const entry = `{"id":"%s","addr":"127.0.0.1:1","zone":"neihu","state":"in_service"}`
+	for name, in := range map[string]string{
+		"half a surrogate pair in ids": fmt.Sprintf(`{"version":1,"full":true,"servers":[`+entry+`,`+entry+`]}`, `s-\ud83d`, `s-\udcc8`),
+		"invalid UTF-8 in an id":       fmt.Sprintf(`{"version":1,"full":true,"servers":[`+entry+`]}`, "s-\xff"),
+		"two ids":                      `{"version":1,"full":true,"servers":[{"id":"a","id":"b","addr":"127.0.0.1:1","zone":"neihu","state":"in_service"}]}`,
+		"an id in other case":          `{"version":1,"full":true,"servers":[{"ID":"a","addr":"127.0.0.1:1","zone":"neihu","state":"in_service"}]}`,
+	} {
+		if l, err := ParseList([]byte(in), []string{"neihu"}, nil); err == nil {
+			t.Errorf("%s: got nodes %+v, want an error", name, l.Nodes)
+		}
+	}
+}
+
 // A node's addrs are parsed strictly; one that cannot be used is reported and does not
 // affect the others.
 func TestUnusableAddressKeepsTheOthers(t *testing.T) {
@@ -54,6 +70,7 @@
 		{"127.0.0.1:1", `["[::1]:1","[0::1]:1"]`, "127.0.0.1:1 [::1]:1", ""},
 		{"127.0.0.1:1", `["127.0.0.1:1"]`, "", ""},
 		{"127.0.0.1:1", `["nonsense",7,"unix:/n"]`, "127.0.0.1:1 unix:/n", "a addrs[0] a addrs[1]"},
+		{"127.0.0.1:1", `["unix:/\ud83d","unix:/n"]`, "127.0.0.1:1 unix:/n", "a addrs[0]"},
 		{"127.0.0.1:1", `"unix:/n"`, "", "a addrs"},
 		{"127.0.0.1:1", `["grpc+unix:/f","unix:/n"]`, "127.0.0.1:1 unix:/n", "a addrs[0]"},
 		{"grpc+tcp://127.0.0.1:1", `["grpc+unix:///f"]`, "grpc+tcp://127.0.0.1:1 grpc+unix:/f", ""},
@@ -238,3 +255,18 @@
 		}
 	})
 }
+
+// BenchmarkParseList decodes a list of 3,200 nodes.
+func BenchmarkParseList(b *testing.B) {
+	var entries []string
+	for i := range 3200 {
+		entries = append(entries, fmt.Sprintf(`{"id":"s-%08x","addr":"10.1.%d.%d:8000","zone":"neihu","kind":"m2","cell":3,"state":"in_service","weight":1.0,"started_ms":1764873600000}`, i, i/250, i%250))
+	}
+	data := []byte(`{"version":41,"full":true,"servers":[` + strings.Join(entries, ",") + `]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseList(data, []string{"neihu"}, []string{"m2"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -9,9 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"onyxsail/broker"
 	"onyxsail/decide"
 	"onyxsail/internal/address"
+	"onyxsail/internal/strictjson"
 )
 
 // List is one answer of discovery: the full list, or the entries that have changed.
@@ -34,11 +36,11 @@
 
 // serverEntry is one node in an answer of discovery.
 type serverEntry struct {
-	ID      string          `json:"id"`
-	Addr    string          `json:"addr"`
-	Addrs   json.RawMessage `json:"addrs"`
-	Zone    string          `json:"zone"`
-	Kind    string          `json:"kind"`
+	ID      strictjson.Text `json:"id"`
+	Addr    strictjson.Text `json:"addr"`
+	Addrs   jsontext.Value  `json:"addrs"`
+	Zone    strictjson.Text `json:"zone"`
+	Kind    strictjson.Text `json:"kind"`
 	Cell    int             `json:"cell"`
 	State   string          `json:"state"`
 	Weight  *float64        `json:"weight"`     // nil: 1
@@ -57,7 +59,7 @@
 // answer, except that an unusable entry of addrs is only reported in AddressErrors.
 func ParseList(data []byte, zones, kinds []string) (*List, error) {
 	var message listMessage
-	if err := json.Unmarshal(data, &message); err != nil {
+	if err := strictjson.UnmarshalParts(data, &message); err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
 	if message.Version == nil || message.Full == nil {
@@ -66,7 +68,7 @@
 	list := &List{Version: int64(*message.Version), Full: *message.Full}
 	for i, entry := range message.Servers {
 		n := broker.Node{
-			ID: entry.ID, Addr: entry.Addr, Zone: zoneIndex(zones, entry.Zone), Kind: max(0, indexOf(kinds, entry.Kind)),
+			ID: string(entry.ID), Addr: string(entry.Addr), Zone: zoneIndex(zones, string(entry.Zone)), Kind: max(0, indexOf(kinds, string(entry.Kind))),
 			Cell: entry.Cell, Weight: 1,
 		}
 		switch entry.State {
@@ -79,7 +81,7 @@
 		default:
 			return nil, fmt.Errorf("servers[%d].state: got %q, want in_service, terminating or terminated", i, entry.State)
 		}
-		_, _, err := net.SplitHostPort(strings.TrimPrefix(entry.Addr, broker.FlightScheme))
+		_, _, err := net.SplitHostPort(strings.TrimPrefix(n.Addr, broker.FlightScheme))
 		switch {
 		case entry.ID == "":
 			return nil, fmt.Errorf("servers[%d].id: missing", i)
@@ -105,12 +107,12 @@
 
 // parseAddrs parses a node's addrs and sets n.Addrs if there is more than one distinct
 // address. The node's addr goes before them, unless it is among them.
-func (l *List) parseAddrs(n *broker.Node, raw json.RawMessage) {
+func (l *List) parseAddrs(n *broker.Node, raw jsontext.Value) {
 	report := func(field string, err error) {
 		l.AddressErrors = append(l.AddressErrors, AddressError{n.ID, field, err})
 	}
-	var texts []json.RawMessage
-	if err := json.Unmarshal(raw, &texts); err != nil {
+	var texts []jsontext.Value
+	if err := strictjson.UnmarshalParts(raw, &texts); err != nil {
 		report("addrs", err)
 		return
 	}
@@ -127,7 +129,7 @@
 	for i, raw := range texts {
 		var text string
 		var a address.Address
-		err := json.Unmarshal(raw, &text)
+		err := strictjson.Unmarshal(raw, &text)
 		if err == nil {
 			a, err = address.Parse(text)
 		}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -7,6 +7,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -42,6 +43,49 @@
 // ignored. The error is an *Error; v may be partly set then.
 func Unmarshal(data []byte, v any) error { return fieldError(json.Unmarshal(data, v)) }
 
+// UnmarshalKnown is like Unmarshal, but a field that v does not have is an error.
+func UnmarshalKnown(data []byte, v any) error {
+	return fieldError(json.Unmarshal(data, v, json.RejectUnknownMembers(true)))
+}
+
+// UnmarshalParts is like Unmarshal, but text that is no Unicode is an error only in strings of type
+// Text, and a jsontext.Value holds it unchanged: a message whose other parts can be used is not
+// rejected as a whole.
+func UnmarshalParts(data []byte, v any) error {
+	return fieldError(json.Unmarshal(data, v, jsontext.AllowInvalidUTF8(true)))
+}
+
+// Check returns an error unless data is one JSON text as RFC 7493 demands.
+func Check(data []byte) error {
+	var value jsontext.Value
+	return Unmarshal(data, &value)
+}
+
+// Text is a string that is Unicode, however its message is decoded; null leaves it empty.
+type Text string
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (t *Text) UnmarshalJSONFrom(decoder *jsontext.Decoder) error {
+	raw, err := decoder.ReadValue()
+	if err != nil {
+		return err
+	}
+	if raw.Kind() == jsontext.KindNull {
+		*t = ""
+		return nil
+	}
+	if raw.Kind() != jsontext.KindString {
+		return fmt.Errorf("got a %v, want a string", raw.Kind())
+	}
+	var buffer [64]byte // most names fit, and cost one allocation then
+	unquoted, err := jsontext.AppendUnquote(buffer[:0], raw)
+	if err != nil {
+		return fmt.Errorf("no Unicode text: %v", err) // not wrapped: it would hide the field, which the caller of this method adds
+	}
+	*t = Text(unquoted)
+	return nil
+}
+
 // fieldError converts an error of the json packages to one that names the field.
 func fieldError(err error) error {
 	var syntactic *jsontext.SyntacticError
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"strings"
 	"testing"
+
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 type item struct {
@@ -70,3 +72,42 @@
 		t.Errorf("got %q, error %v, want b", m.Text, err)
 	}
 }
+
+// Only the parts of a message that are no Unicode are lost to UnmarshalParts.
+func TestPartsWithoutUnicodeAreToldApart(t *testing.T) {
+	type parts struct {
+		ID   Text           `json:"id"`
+		More jsontext.Value `json:"more"`
+	}
+	for _, c := range []struct {
+		data, id, field string
+	}{
+		{`{"id":"a\ud83d\udcc8","more":["\ud83d"],"else":"\ud83d"}`, "a\U0001F4C8", ""},
+		{`{"id":null,"more":1}`, "", ""},
+		{`{"id":"\ud83d"}`, "", "id"},
+		{`{"id":7}`, "", "id"},
+		{`{"id":"a","id":"b"}`, "a", "id"},
+	} {
+		var p parts
+		var wrong *Error
+		err := UnmarshalParts([]byte(c.data), &p)
+		if string(p.ID) != c.id || (err != nil) != (c.field != "") {
+			t.Errorf("%s: got id %q, error %v, want %q and an error of field %q", c.data, p.ID, err, c.id, c.field)
+		}
+		if err != nil && (!errors.As(err, &wrong) || wrong.Field != c.field) {
+			t.Errorf("%s: got error %v, want one of field %q", c.data, err, c.field)
+		}
+		if c.field == "" && strings.Contains(c.data, "ud83d\"]") && string(p.More) != `["\ud83d"]` {
+			t.Errorf("%s: got %s, want the list unchanged", c.data, p.More)
+		}
+	}
+}
+
+// A field that the value does not have is an error of UnmarshalKnown.
+func TestUnknownFieldIsAnErrorOfUnmarshalKnown(t *testing.T) {
+	var m message
+	var wrong *Error
+	if err := UnmarshalKnown([]byte(`{"query":"a","queri":"b"}`), &m); !errors.As(err, &wrong) || wrong.Field != "queri" {
+		t.Errorf("got error %v, want one of field queri", err)
+	}
+}
