End Flight connections at rest, and share clients' places between the fronts

Cause: the Flight front had an eighth of the descriptors and, at its limit, waited for gRPC to end a connection, which it does after a minute and a ping's answer. An eighth is also below the third that clients may hold with requests. The record shows that the calls reached no node: they were not read, not slow.

Change: connlimit.Limiter has the places of both fronts, and the least useful connection of either makes room. clientConn follows the frames of a Flight connection and ends it between calls by two GOAWAYs of its own, the last with the number of the last stream taken. Silence, half frames and calls without a ticket have times.

A call that is open is never ended, and one that crosses the end is served or known not to be taken: read input and the decision to end share a lock.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"onyxsail/flightfront"
 	"onyxsail/flightnode"
 	"onyxsail/httpfront"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
 	"onyxsail/nodeclient"
@@ -82,6 +83,7 @@
 	handOverWindow                atomic.Int64          // nanoseconds; new connections are accepted this long after Stop is called
 	takeoverServer                *takeover.Server      // serves a successor process; nil: not started yet, not possible, or closed; siblings.mu guards it
 	predecessor                   *takeover.Predecessor // the process that this one replaces; nil: none
+	clientConns                   *connlimit.Limiter    // of both fronts
 	maxClientConns, maxFrameConns int                   // connections, and so descriptors, when no sibling process runs
 	siblings                      siblingProcesses
 	admin                         *admin.Server // nil: off
@@ -120,20 +122,16 @@
 	debug.SetGCPercent(400) // the live heap is small compared to the limit, so rarer collections fit into it
 }
 
-// splitSockets divides the descriptors and returns the limits of connections to HTTP clients
-// and to nodes that use the frame protocol. Not included are an eighth for nodes that use
-// Flight, an eighth for the Flight front, and a sixteenth for discovery, the log and the
-// duplicates of connections that are being attached to the loop. Without a Flight front its
-// share goes to the HTTP clients. A long cached list of nodes takes what it needs from the
-// HTTP clients' share; nil is no list.
-func splitSockets(sockets int, flight bool, cached *discovery.List) (clients, frames int) {
+// splitSockets divides the descriptors and returns the limits of connections to clients, over both
+// fronts, and to nodes that use the frame protocol. Not included are an eighth for nodes that use
+// Flight, and a sixteenth for discovery, the log and the duplicates of connections that are being
+// attached to the loop. A long cached list of nodes takes what it needs from the clients' share;
+// nil is no list.
+func splitSockets(sockets int, cached *discovery.List) (clients, frames int) {
 	if sockets < smallSocketLimit { // the process's own descriptors, about twelve, are a significant share here
 		sockets = max(4, sockets-reservedDescriptors)
 	}
 	clients, frames = sockets/2, sockets*5/16
-	if flight {
-		clients = sockets * 3 / 8
-	}
 	if cached != nil {
 		surplus := max(0, clients-sockets/4) // clients keep a quarter
 		wanted := len(cached.Nodes) + len(cached.Nodes)/8
@@ -172,8 +170,8 @@
 	sampler := &levelSampler{}
 	sampler.set(cfg.LogLevel)
 	log = log.Sample(sampler)
-	clientConns, frameConns := splitSockets(sockets, cfg.Flight != nil, cfg.Known)
-	d := &Daemon{cfg: cfg, log: log, loop: loop, logLevel: sampler, listKnown: make(chan struct{}), maxClientConns: clientConns, maxFrameConns: frameConns}
+	clientConns, frameConns := splitSockets(sockets, cfg.Known)
+	d := &Daemon{cfg: cfg, log: log, loop: loop, logLevel: sampler, listKnown: make(chan struct{}), clientConns: connlimit.New(clientConns), maxClientConns: clientConns, maxFrameConns: frameConns}
 	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.handOverWindow.Store(int64(cfg.HandOverWindow))
 	sink := &coreSink{}
@@ -229,12 +227,12 @@
 	if err == nil {
 		d.httpFront, err = httpfront.Listen(cfg.Listen, httpfront.Options{
 			Core: d.core, Loop: loop, Classes: classesByName(cfg), Shards: cfg.Settings.Shards,
-			MaxConns: clientConns, Listener: inherited, Trace: cfg.Tracing != nil, Log: log,
+			Conns: d.clientConns, Listener: inherited, Trace: cfg.Tracing != nil, Log: log,
 		})
 	}
 	if err == nil && cfg.Flight != nil {
 		d.flightFront, err = flightfront.Listen(cfg.Flight.Listen, flightfront.Options{
-			Core: d.core, Classes: classesByName(cfg), Shards: cfg.Settings.Shards, MaxConns: sockets / 8, Log: log,
+			Core: d.core, Classes: classesByName(cfg), Shards: cfg.Settings.Shards, Conns: d.clientConns, Log: log,
 			Actions: d.flightActions(), Trace: cfg.Tracing != nil,
 		})
 	}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -19,6 +19,7 @@
 	"onyxsail/broker"
 	"onyxsail/decide"
 	"onyxsail/flightfront"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/strictjson"
 	"onyxsail/reach"
 	"onyxsail/store"
@@ -191,6 +192,8 @@
 	Stats   broker.Stats    `json:"stats"`
 	Store   *store.Status   `json:"store,omitempty"`
 	Tracing *tracing.Counts `json:"tracing,omitempty"`
+	// Connections has the connections of clients by front, "http" or "flight".
+	Connections map[string]connlimit.Counts `json:"connections"`
 	// Addresses has the addresses of each node with more than one, in order of preference.
 	Addresses map[string][]reach.AddressStatus `json:"addresses,omitempty"`
 }
@@ -202,6 +205,10 @@
 		storeStatus := d.store.Status()
 		s.Store = &storeStatus
 	}
+	s.Connections = map[string]connlimit.Counts{"http": d.httpFront.Conns()}
+	if d.flightFront != nil {
+		s.Connections["flight"] = d.flightFront.Conns()
+	}
 	s.Addresses = d.frameNodes.Addresses()
 	maps.Copy(s.Addresses, d.flightNodes.Addresses())
 	if d.tracer != nil {
--- a/daemon/takeover.go
+++ b/daemon/takeover.go
@@ -59,7 +59,7 @@
 	if siblingRunning {
 		clientConns, frameConns = max(1, clientConns/2), max(1, frameConns/2)
 	}
-	d.httpFront.SetMaxConns(clientConns)
+	d.clientConns.SetLimit(clientConns)
 	d.frameNodes.SetMaxConns(frameConns)
 	d.mu.Lock()
 	d.processCount = processCount
--- a/flightfront/drain_test.go
+++ b/flightfront/drain_test.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/query"
 	"onyxsail/internal/testkit"
 )
@@ -28,6 +29,13 @@
 
 // dialRaw connects to a front and exchanges settings with it.
 func dialRaw(t *testing.T, f *Front) *rawClient {
+	t.Helper()
+	client, _ := dialRawConn(t, f)
+	return client
+}
+
+// dialRawConn is like dialRaw and returns the connection too.
+func dialRawConn(t *testing.T, f *Front) (*rawClient, net.Conn) {
 	t.Helper()
 	conn, err := net.Dial("tcp", f.Addr().String())
 	if err != nil {
@@ -45,11 +53,11 @@
 	if err := c.framer.WriteSettings(); err != nil {
 		t.Fatal(err)
 	}
-	return c
+	return c, conn
 }
 
-// openCall sends a DoGet whole.
-func (c *rawClient) openCall(stream uint32, ticket string) {
+// openHeaders sends the headers of a DoGet.
+func (c *rawClient) openHeaders(stream uint32) {
 	c.t.Helper()
 	var block bytes.Buffer
 	encoder := hpack.NewEncoder(&block)
@@ -62,14 +70,20 @@
 			c.t.Fatal(err)
 		}
 	}
+	if err := c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// openCall sends a DoGet whole.
+func (c *rawClient) openCall(stream uint32, ticket string) {
+	c.t.Helper()
+	c.openHeaders(stream)
 	message, err := proto.Marshal(&flight.Ticket{Ticket: []byte(ticket)})
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	prefixed := append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(message))), message...)
-	if err := c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true}); err != nil {
-		c.t.Fatal(err)
-	}
 	if err := c.framer.WriteData(stream, true, prefixed); err != nil {
 		c.t.Fatal(err)
 	}
@@ -96,7 +110,7 @@
 func TestCallOpenedBehindGoAwayIsAnswered(t *testing.T) {
 	core := &fakeCore{}
 	f, err := Listen("127.0.0.1:0", Options{
-		Core: core, MaxConns: 4, Shards: 18, Log: zerolog.New(io.Discard), Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}},
+		Core: core, Conns: connlimit.New(4), Shards: 18, Log: zerolog.New(io.Discard), Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -17,16 +17,16 @@
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/memory"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/flightwire"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
@@ -36,10 +36,9 @@
 
 const (
 	maxTicketBytes    = 64 << 10
-	maxStreamsPerConn = 256             // concurrent calls of one connection
-	idleTimeout       = time.Minute     // for a connection without calls
-	handshakeTimeout  = 2 * time.Second // for the HTTP/2 handshake of a new connection
-	maxHeaderBytes    = 16 << 10        // all headers of a call
+	maxStreamsPerConn = 256      // concurrent calls of one connection
+	maxHeaderBytes    = 16 << 10 // all headers of a call
+	readBufferBytes   = 8 << 10  // of each connection
 )
 
 // Core is the part of the broker that the front uses; see broker.Core.
@@ -62,13 +61,13 @@
 
 // Options configures a Front.
 type Options struct {
-	Core     Core
-	Classes  map[string]query.Class // initial classes, by name; see SetClasses
-	Shards   int                    // number of shards; 0: unknown
-	MaxConns int                    // limit of open connections, at least 1; further ones wait to be accepted
-	Actions  []Action
-	Trace    bool // read trace contexts from call metadata
-	Log      zerolog.Logger
+	Core    Core
+	Classes map[string]query.Class // initial classes, by name; see SetClasses
+	Shards  int                    // number of shards; 0: unknown
+	Conns   *connlimit.Limiter     // of all connections of clients; further ones wait to be accepted
+	Actions []Action
+	Trace   bool // read trace contexts from call metadata
+	Log     zerolog.Logger
 }
 
 // Front is an Arrow Flight server.
@@ -77,8 +76,10 @@
 	opts      Options
 	classes   atomic.Pointer[map[string]query.Class]
 	server    *grpc.Server
-	listener  net.Listener
+	listener  *connListener
 	serveDone sync.WaitGroup
+	drained   chan struct{} // closed once all connections are
+	drainOnce sync.Once
 }
 
 // Listen opens a socket at addr and starts to serve.
@@ -87,18 +88,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for Flight clients: %w", err)
 	}
-	f := &Front{opts: o, listener: l}
+	f := &Front{opts: o, listener: newConnListener(l, o.Conns, o.Log), drained: make(chan struct{})}
 	f.SetClasses(o.Classes)
 	f.server = grpc.NewServer(
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxRecvMsgSize(maxTicketBytes+(4<<10)), grpc.MaxConcurrentStreams(maxStreamsPerConn),
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTimeout}),
+		grpc.ReadBufferSize(readBufferBytes),
 	)
 	flight.RegisterFlightServiceServer(f.server, f)
+	f.serveDone.Go(func() { f.listener.sweep(f.drained) })
 	f.serveDone.Add(1)
 	go func() {
 		defer f.serveDone.Done()
-		if err := f.server.Serve(netutil.LimitListener(l, max(1, o.MaxConns))); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		if err := f.server.Serve(f.listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 			o.Log.Error().Str("event", "flight-serve").Err(err).Msg("Flight server stopped unexpectedly")
 		}
 	}()
@@ -111,6 +113,7 @@
 // Drain accepts no more connections and calls, waits until the open calls have ended, or until
 // ctx ends, and closes all connections. Calls that are open when ctx ends are cancelled.
 func (f *Front) Drain(ctx context.Context) {
+	f.listener.drain()
 	stopped := make(chan struct{})
 	go func() {
 		f.server.GracefulStop()
@@ -122,9 +125,24 @@
 		f.server.Stop()
 		<-stopped
 	}
+	f.drainOnce.Do(func() { close(f.drained) })
 	f.serveDone.Wait()
 }
 
+// Conns returns the numbers of connections.
+func (f *Front) Conns() connlimit.Counts { return f.listener.counts() }
+
+// beginCall records that the front works on a call, and returns when the call was received and a
+// function that records the end of that work.
+func beginCall(ctx context.Context) (receivedAt time.Time, end func()) {
+	if client, ok := peer.FromContext(ctx); ok {
+		if addr, ok := client.Addr.(clientAddr); ok {
+			return addr.conn.beginCall(), addr.conn.endCall
+		}
+	}
+	return time.Now(), func() {}
+}
+
 // SetClasses replaces the configured classes for all queries that arrive from now on.
 func (f *Front) SetClasses(byName map[string]query.Class) { f.classes.Store(&byName) }
 
@@ -142,9 +160,9 @@
 	query.Body
 }
 
-// decodeTicket converts a ticket to a query. The error is a gRPC status.
-func (f *Front) decodeTicket(ctx context.Context, ticket []byte) (*broker.Query, error) {
-	now := time.Now()
+// decodeTicket converts a ticket that was received at some time to a query. The error is a gRPC
+// status.
+func (f *Front) decodeTicket(ctx context.Context, ticket []byte, receivedAt time.Time) (*broker.Query, error) {
 	if len(ticket) > maxTicketBytes {
 		return nil, status.Errorf(codes.InvalidArgument, "ticket: %d bytes, want %d at most", len(ticket), maxTicketBytes)
 	}
@@ -156,7 +174,7 @@
 	if !ok {
 		return nil, status.Errorf(codes.NotFound, "class: no class %q", request.Class)
 	}
-	q := &broker.Query{RequestID: request.ID, Class: class.Index, Retry: request.Retry, ArrivedAt: now}
+	q := &broker.Query{RequestID: request.ID, Class: class.Index, Retry: request.Retry, ArrivedAt: receivedAt}
 	if f.opts.Trace {
 		if headers, ok := metadata.FromIncomingContext(ctx); ok {
 			q.Trace = tracecontext.Parse(headers.Get(tracecontext.TraceparentHeader), strings.Join(headers.Get(tracecontext.TracestateHeader), ","))
@@ -174,8 +192,8 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	q.Budget = time.Duration(class.DeadlineMs * float64(time.Millisecond)) // unless the call has an earlier deadline
-	if deadline, ok := ctx.Deadline(); ok {
-		if q.Budget = min(q.Budget, deadline.Sub(now)); q.Budget <= 0 {
+	if deadline, ok := ctx.Deadline(); ok {                                // gRPC counts the client's time from when it reads the call
+		if q.Budget = min(q.Budget, time.Until(deadline)); q.Budget <= time.Since(receivedAt) {
 			return nil, status.Error(codes.DeadlineExceeded, "the query's time was up when it came")
 		}
 	}
@@ -185,7 +203,9 @@
 // DoGet runs the query of a ticket and sends its result.
 func (f *Front) DoGet(ticket *flight.Ticket, stream flight.FlightService_DoGetServer) error {
 	ctx := stream.Context()
-	q, err := f.decodeTicket(ctx, ticket.GetTicket())
+	receivedAt, end := beginCall(ctx)
+	defer end()
+	q, err := f.decodeTicket(ctx, ticket.GetTicket(), receivedAt)
 	if err != nil {
 		return err
 	}
@@ -242,7 +262,9 @@
 	if descriptor.GetType() != flight.DescriptorCMD {
 		return nil, status.Error(codes.InvalidArgument, "descriptor: want a command that is a query's ticket")
 	}
-	if _, err := f.decodeTicket(ctx, descriptor.GetCmd()); err != nil {
+	receivedAt, end := beginCall(ctx)
+	defer end()
+	if _, err := f.decodeTicket(ctx, descriptor.GetCmd(), receivedAt); err != nil {
 		return nil, err
 	}
 	return &flight.FlightInfo{
@@ -254,6 +276,8 @@
 
 // ListActions lists the operator commands.
 func (f *Front) ListActions(_ *flight.Empty, stream flight.FlightService_ListActionsServer) error {
+	_, end := beginCall(stream.Context())
+	defer end()
 	for _, a := range f.opts.Actions {
 		if err := stream.Send(&flight.ActionType{Type: a.Name, Description: a.Description}); err != nil {
 			return fmt.Errorf("listing the actions: %w", err)
@@ -272,6 +296,8 @@
 		}
 		return status.Errorf(codes.Unimplemented, "no action %q, want one of %s", request.GetType(), strings.Join(names, ", "))
 	}
+	_, end := beginCall(stream.Context())
+	defer end()
 	ctx, send := stream.Context(), func(body []byte) error { return stream.Send(&flight.Result{Body: body}) }
 	var err error
 	if action := f.opts.Actions[i]; action.Stream != nil {
--- a/flightfront/front_test.go
+++ b/flightfront/front_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/flightwire"
 	"onyxsail/internal/query"
 	"onyxsail/internal/testkit"
@@ -29,6 +30,7 @@
 	reply     *broker.Reply
 	queueFull bool
 	submitted []*broker.Query
+	repliers  []broker.Replier // of the submitted queries
 	abandoned int
 }
 
@@ -39,13 +41,21 @@
 	if c.queueFull {
 		return 0, false
 	}
-	c.submitted = append(c.submitted, q)
+	c.submitted, c.repliers = append(c.submitted, q), append(c.repliers, r)
 	if c.reply != nil {
 		r.Reply(1, *c.reply)
 	}
 	return 1, true
 }
 
+// reply0 replies to the first query that was submitted.
+func (c *fakeCore) reply0(reply broker.Reply) {
+	c.mu.Lock()
+	replier := c.repliers[0]
+	c.mu.Unlock()
+	replier.Reply(1, reply)
+}
+
 // Leave implements Core.
 func (c *fakeCore) Leave(broker.QueryID) {
 	c.mu.Lock()
@@ -57,7 +67,7 @@
 	t.Helper()
 	core := &fakeCore{}
 	f, err := Listen("127.0.0.1:0", Options{
-		Core: core, MaxConns: 4, Shards: 18, Log: zerolog.New(io.Discard),
+		Core: core, Conns: connlimit.New(4), Shards: 18, Log: zerolog.New(io.Discard),
 		Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}, "edit": {Name: "edit", Index: 1, Keyed: true}},
 		Actions: []Action{{Name: "echo", Description: "returns its argument", Run: func(_ context.Context, b []byte) ([]byte, error) {
 			if len(b) == 0 {
--- a/httpfront/conn.go
+++ b/httpfront/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/http1"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/tracecontext"
@@ -322,7 +323,7 @@
 	switch {
 	case len(c.exchanges) > 0 || c.inputIgnored || c.closed:
 	case !c.parser.InMessage():
-		if c.dataReceived || time.Since(c.requestStart) > minEvictionAge {
+		if c.dataReceived || time.Since(c.requestStart) > connlimit.MinEvictionAge {
 			c.endIdle()
 		}
 	case time.Since(c.requestStart) > drainReadTimeout:
@@ -349,5 +350,5 @@
 		c.queueElem = nil
 	}
 	c.front.mu.Unlock()
-	c.front.connSlots.release()
+	c.front.connSlots.Release()
 }
--- a/httpfront/front.go
+++ b/httpfront/front.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/http1"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
@@ -35,8 +36,6 @@
 	firstByteTimeout      = 1500 * time.Millisecond // from the accept to the first byte
 	requestReadTimeout    = 2500 * time.Millisecond // to receive a request that has started; some clients take 2 s
 	firstRequestTimeout   = 2750 * time.Millisecond // to receive the first request, from the accept
-	minReadingEvictionAge = time.Second             // before a connection that sends a request may be evicted
-	crowdedIdleTimeout    = 2 * time.Second         // between requests, while more than half of the connections are in use
 	idleTimeout           = time.Minute             // between requests, otherwise
 	lingerTimeout         = time.Second             // for the client to close its side after ours was closed
 	unreadResponseTimeout = 5 * time.Second         // for the client to read a response
@@ -48,10 +47,6 @@
 	// maxAcceptWait bounds how long a connection's first bytes are assumed to have waited for
 	// the accept. A longer time is ignored.
 	maxAcceptWait = time.Minute
-	// minEvictionAge is the age below which a connection is not evicted: its first request
-	// may have arrived without having been read yet.
-	minEvictionAge        = 100 * time.Millisecond
-	evictionRetryInterval = 5 * time.Millisecond // between attempts to evict a connection
 	// maxHalfClosed is the number of half-closed connections from which on no others are
 	// evicted, until some of these have closed.
 	maxHalfClosed = 16
@@ -84,7 +79,7 @@
 	Loop     *netio.Loop
 	Classes  map[string]query.Class // initial classes, by name; see SetClasses
 	Shards   int                    // number of shards; 0: unknown
-	MaxConns int                    // limit of open connections, at least 1; see SetMaxConns
+	Conns    *connlimit.Limiter     // of all connections of clients
 	Listener *net.TCPListener       // socket taken over from another process; nil: the front opens its own
 	Trace    bool                   // read trace contexts from request headers
 	Log      zerolog.Logger
@@ -94,7 +89,7 @@
 type Front struct {
 	opts          Options
 	listener      listener
-	connSlots     *connLimiter
+	connSlots     *connlimit.Limiter
 	classes       atomic.Pointer[classVersion]
 	ready         atomic.Bool
 	operatorDrain atomic.Bool   // an operator has requested a drain
@@ -111,6 +106,7 @@
 	queues           [stateCount]list.List // connections by state, in the order in which they entered it
 	rejectedByStatus map[int]int           // requests rejected since the last summary, by HTTP status
 	evictedByState   [stateCount]int       // connections evicted since the last summary, by state
+	evictedTotal     int64
 }
 
 // Listen opens a socket at addr, unless the options have one, and starts to serve. GET /ready
@@ -136,10 +132,11 @@
 // serve starts a front on a listening socket.
 func serve(l listener, o Options) *Front {
 	f := &Front{
-		opts: o, listener: l, connSlots: newConnLimiter(o.MaxConns),
+		opts: o, listener: l, connSlots: o.Conns,
 		conns: map[*conn]struct{}{}, rejectedByStatus: map[int]int{}, stop: make(chan struct{}), acceptDone: make(chan struct{}),
 	}
 	f.classes.Store(&classVersion{byName: o.Classes})
+	f.connSlots.Register(f)
 	f.sweeperDone.Add(1)
 	go f.acceptLoop()
 	go f.sweepLoop()
@@ -177,7 +174,7 @@
 func (f *Front) acceptLoop() {
 	defer close(f.acceptDone)
 	for {
-		if !f.acquireSlot() {
+		if !f.connSlots.Acquire(f.stop) {
 			return
 		}
 		// Connections in the accept queue would be reset when the socket is closed, so all of
@@ -187,7 +184,7 @@
 		}
 		nc, err := f.listener.Accept()
 		if err != nil {
-			f.connSlots.release()
+			f.connSlots.Release()
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
@@ -212,59 +209,56 @@
 		})
 		if err != nil {
 			if c.sock == nil { // otherwise Closed releases the slot
-				f.connSlots.release()
+				f.connSlots.Release()
 			}
 			f.opts.Log.Warn().Str("event", "accept").Err(err).Msg("could not accept a connection")
 		}
 	}
 }
 
-// acquireSlot waits for a slot for one more connection; it returns false once the front has
-// stopped. If all slots are in use it evicts the least useful connection: clients that send
-// one request and keep the connection open, or never send anything, would otherwise lock out
-// all others. While no connection can be evicted, new ones wait in the accept queue.
-func (f *Front) acquireSlot() bool {
-	for {
-		if f.connSlots.tryAcquire() {
-			return true
-		}
-		f.evictOne()
-		select {
-		case <-f.stop:
-			return false
-		case <-f.connSlots.freed:
-		case <-time.After(evictionRetryInterval):
-		}
-	}
+// evictableStates gives the state of the connections of each level, and how long they have been in
+// it at least.
+var evictableStates = map[connlimit.Level]struct {
+	state  connState
+	minAge time.Duration
+}{
+	connlimit.LevelEnding:       {stateHalfClosed, connlimit.MinEvictionAge},
+	connlimit.LevelSilent:       {stateNew, connlimit.MinEvictionAge},
+	connlimit.LevelIdle:         {stateIdle, connlimit.CrowdedIdleTimeout},
+	connlimit.LevelReading:      {stateReading, connlimit.MinReadingEvictionAge},
+	connlimit.LevelRecentlyIdle: {stateIdle, connlimit.MinEvictionAge},
 }
 
-// evictOne ends one connection without open requests and reports whether it did. There may be
-// none that is old enough, or too many that are half-closed already. The slot becomes free when
-// the connection is closed: at once for one that was half-closed or never used, otherwise when
+// EvictOne implements connlimit.Evictor. None is evicted while too many are half-closed already.
+// The slot becomes free at once for a connection that was half-closed or never used, otherwise when
 // the client has closed its side as well, or on a timeout.
-func (f *Front) evictOne() bool {
-	for _, candidate := range []struct {
-		state  connState
-		minAge time.Duration
-	}{{stateHalfClosed, minEvictionAge}, {stateNew, minEvictionAge}, {stateIdle, crowdedIdleTimeout}, {stateReading, minReadingEvictionAge}, {stateIdle, minEvictionAge}} {
-		if candidate.state != stateHalfClosed && f.halfClosedCount() >= maxHalfClosed {
-			return false
-		}
-		for _, c := range f.connsInState(candidate.state, candidate.minAge) {
-			if c.endIfInState(candidate.state) {
-				if candidate.state == stateNew {
-					c.closeIfUnused()
-				}
-				f.mu.Lock()
-				f.evictedByState[candidate.state]++
-				f.mu.Unlock()
-				return true
+func (f *Front) EvictOne(level connlimit.Level) bool {
+	candidate := evictableStates[level]
+	if candidate.state != stateHalfClosed && f.halfClosedCount() >= maxHalfClosed {
+		return false
+	}
+	for _, c := range f.connsInState(candidate.state, candidate.minAge) {
+		if c.endIfInState(candidate.state) {
+			if candidate.state == stateNew {
+				c.closeIfUnused()
 			}
+			f.mu.Lock()
+			f.evictedByState[candidate.state]++
+			f.evictedTotal++
+			f.mu.Unlock()
+			return true
 		}
 	}
 	return false
 }
 
+// Conns returns the numbers of connections.
+func (f *Front) Conns() connlimit.Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return connlimit.Counts{Open: len(f.conns), Idle: f.queues[stateIdle].Len(), Evicted: f.evictedTotal}
+}
+
 // halfClosedCount returns the number of connections whose sending side is closed but which the
 // client has not closed yet.
 func (f *Front) halfClosedCount() int {
@@ -312,7 +306,7 @@
 // nearConnLimit reports whether connections are scarce; responses then close their
 // connections. Otherwise clients that send one request and keep the connection open would
 // use up the limit, and the next client would find no free slot.
-func (f *Front) nearConnLimit() bool { return f.connSlots.usageAbove(5) }
+func (f *Front) nearConnLimit() bool { return f.connSlots.UsageAbove(5) }
 
 // countRejection counts a rejected request for the next summary.
 func (f *Front) countRejection(status int) {
@@ -349,8 +343,8 @@
 // many as are in excess.
 func (f *Front) sweepOnce() {
 	idleLimit := idleTimeout
-	if f.connSlots.usageAbove(4) {
-		idleLimit = crowdedIdleTimeout
+	if f.connSlots.UsageAbove(4) {
+		idleLimit = connlimit.CrowdedIdleTimeout
 	}
 	for s, limit := range map[connState]time.Duration{
 		stateNew: firstByteTimeout, stateIdle: idleLimit, stateHalfClosed: lingerTimeout, stateWriting: unreadResponseTimeout,
@@ -362,8 +356,8 @@
 	for _, c := range f.overdueRequests() {
 		c.endIfInState(stateReading)
 	}
-	for range f.connSlots.excess() {
-		if !f.evictOne() {
+	for range f.connSlots.Excess() {
+		if !f.connSlots.Evict() {
 			break
 		}
 	}
@@ -406,10 +400,6 @@
 	return all
 }
 
-// SetMaxConns changes the limit of open connections; the minimum is 1. While it is exceeded,
-// connections without open requests are evicted.
-func (f *Front) SetMaxConns(limit int) { f.connSlots.setLimit(limit) }
-
 // SetHandedOver tells the front that another process accepts from the same socket. It must be
 // called before Drain, which then accepts no new connections; closing the socket resets none.
 // Until keepIdleUntil the drain closes connections only with a response, so that no new request
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/netio"
 	"onyxsail/internal/query"
 	"onyxsail/internal/testkit"
@@ -87,7 +88,7 @@
 	}
 	core := &fakeCore{queries: map[broker.QueryID]*broker.Query{}, repliers: map[broker.QueryID]broker.Replier{}}
 	f := serve(wrap(l.(*net.TCPListener)), Options{
-		Core: core, Loop: loop, MaxConns: 8, Shards: 18, Log: zerolog.New(io.Discard),
+		Core: core, Loop: loop, Conns: connlimit.New(8), Shards: 18, Log: zerolog.New(io.Discard),
 		Classes: map[string]query.Class{"screen": {Name: "screen"}, "edit": {Name: "edit", Index: 1, Keyed: true}},
 	})
 	f.SetReady(true)
@@ -206,7 +207,7 @@
 			}
 		}
 		conn.Close()
-		for f.connSlots.inUse() > 1 { // one slot is reserved for the next accept; near the limit responses would close connections
+		for f.connSlots.InUse() > 1 { // one slot is reserved for the next accept; near the limit responses would close connections
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -399,7 +400,7 @@
 // Connections that are kept open after a request must not lock out new clients.
 func TestIdleConnectionsAreEvictedForNewOnes(t *testing.T) {
 	f, _ := start(t)
-	for range 3 * f.connSlots.limit {
+	for range 3 * f.connSlots.Limit() {
 		conn, in := dial(t, f)
 		if _, err := io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 			t.Fatal(err)
@@ -455,7 +456,7 @@
 // Near the connection limit, responses must close their connections.
 func TestResponsesCloseConnectionsNearLimit(t *testing.T) {
 	f, _ := start(t)
-	threshold := f.connSlots.limit * 5 / 8
+	threshold := f.connSlots.Limit() * 5 / 8
 	for i := range threshold + 2 {
 		conn, in := dial(t, f)
 		if _, err := io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
--- a/httpfront/protocol_test.go
+++ b/httpfront/protocol_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"onyxsail/broker"
+	"onyxsail/internal/connlimit"
 	"onyxsail/internal/testkit"
 )
 
@@ -164,18 +165,18 @@
 func TestBudgetIncludesTimeBeforeAccept(t *testing.T) {
 	const waited, slack = 400 * time.Millisecond, 150 * time.Millisecond
 	f, core := start(t)
-	for i := range f.connSlots.limit { // use up the connection limit with open queries
+	for i := range f.connSlots.Limit() { // use up the connection limit with open queries
 		client, _ := dial(t, f)
 		send(t, client, queryWithID("busy"+string(rune('a'+i))))
 	}
-	testkit.Eventually(t, "all queries are submitted", func() bool { return core.submitted() == f.connSlots.limit })
+	testkit.Eventually(t, "all queries are submitted", func() bool { return core.submitted() == f.connSlots.Limit() })
 	client, _ := dial(t, f)
 	send(t, client, queryWithID("waits"))
 	sent := time.Now()
 	time.Sleep(waited)
 	core.reply(1, broker.Reply{Verdict: broker.Refused}) // closes its connection, as the limit is reached
-	testkit.Eventually(t, "the last query is submitted", func() bool { return core.submitted() == f.connSlots.limit+1 })
-	q := core.queries[broker.QueryID(f.connSlots.limit+1)]
+	testkit.Eventually(t, "the last query is submitted", func() bool { return core.submitted() == f.connSlots.Limit()+1 })
+	q := core.queries[broker.QueryID(f.connSlots.Limit()+1)]
 	if clientTimeLeft, budgetLeft := q.Budget-time.Since(sent), q.Budget-time.Since(q.ArrivedAt); budgetLeft > clientTimeLeft+slack {
 		t.Errorf("the client waits for another %v, but the query has %v left", clientTimeLeft, budgetLeft)
 	}
@@ -241,14 +242,14 @@
 // closed at once, as they have no unread response that a close could destroy.
 func TestSilentConnectionsDoNotDelayRequests(t *testing.T) {
 	f, core := start(t)
-	for range 5 * f.connSlots.limit { // clients that never close their connections
+	for range 5 * f.connSlots.Limit() { // clients that never close their connections
 		dial(t, f)
 	}
 	started := time.Now()
 	client, _ := dial(t, f)
 	send(t, client, queryWithID("a"))
 	testkit.Eventually(t, "the request is submitted", func() bool { return core.submitted() == 1 })
-	if took, limit := time.Since(started), 7*minEvictionAge; took > limit {
+	if took, limit := time.Since(started), 7*connlimit.MinEvictionAge; took > limit {
 		t.Errorf("submitted after %v, want at most %v", took, limit)
 	}
 }
--- a/httpfront/race_test.go
+++ b/httpfront/race_test.go
@@ -130,7 +130,7 @@
 			f.mu.Lock()
 			c.queuedAt = c.queuedAt.Add(-time.Hour)
 			f.mu.Unlock()
-			f.evictOne()
+			f.connSlots.Evict()
 		},
 		"drain": func(_ *Front, c *conn) { c.endForDrain() },
 	} {
@@ -193,7 +193,7 @@
 	for cause, apply := range map[string]func(*Front){
 		"stop":               func(f *Front) { f.draining.Store(true) },
 		"operator's drain":   func(f *Front) { f.SetOperatorDrain(true) },
-		"scarce connections": func(f *Front) { f.SetMaxConns(1) },
+		"scarce connections": func(f *Front) { f.connSlots.SetLimit(1) },
 	} {
 		for name, second := range map[string]string{"query": queryWithID("b"), "invalid request": "PUT /screen HTTP/1.1\r\nHost: a\r\n\r\n"} {
 			t.Run(cause+", "+name, func(t *testing.T) {
@@ -386,7 +386,7 @@
 	f.mu.Lock()
 	c.queuedAt = c.queuedAt.Add(-requestReadTimeout)
 	f.mu.Unlock()
-	f.evictOne()
+	f.connSlots.Evict()
 	if res, _ := readResponse(t, in); res.StatusCode != http.StatusRequestTimeout || !res.Close {
 		t.Errorf("status %d close %v, want 408 and a close", res.StatusCode, res.Close)
 	}
@@ -413,10 +413,10 @@
 			client.Close()
 		})
 	}
-	for i := range f.connSlots.limit {
+	for i := range f.connSlots.Limit() {
 		connectAndSend(fmt.Sprint("a", i))
 	}
-	testkit.Eventually(t, "a query is open on every allowed connection", func() bool { return core.submitted() == f.connSlots.limit })
+	testkit.Eventually(t, "a query is open on every allowed connection", func() bool { return core.submitted() == f.connSlots.Limit() })
 	for i := range queued {
 		connectAndSend(fmt.Sprint("b", i))
 	}
@@ -426,7 +426,7 @@
 		close(drained)
 	}()
 	testkit.Eventually(t, "the front accepts only queued connections", f.acceptingLast.Load)
-	for i := range f.connSlots.limit + queued {
+	for i := range f.connSlots.Limit() + queued {
 		testkit.Eventually(t, "the query is submitted", func() bool { return core.submitted() > i })
 		core.reply(broker.QueryID(i+1), broker.Reply{Verdict: broker.Served})
 	}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -120,15 +120,44 @@
 
 // UnackedBytes is like Conn.UnackedBytes for a connection that is not on a Loop.
 func UnackedBytes(conn syscall.Conn) int64 {
+	unacked := int64(0)
+	controlFD(conn, func(fd uintptr) { unacked = unackedBytes(fd) })
+	return unacked
+}
+
+// SinceLastReceive is like Conn.SinceLastReceive for a connection that is not on a Loop.
+func SinceLastReceive(conn syscall.Conn) time.Duration {
+	elapsed := time.Duration(0)
+	controlFD(conn, func(fd uintptr) { elapsed = sinceLastReceive(fd) })
+	return elapsed
+}
+
+// HasUnread reports whether the kernel has data of the peer, or the end of its stream, that was not
+// read from a connection that is not on a Loop.
+func HasUnread(conn syscall.Conn) bool {
+	unread := false
+	controlFD(conn, func(fd uintptr) {
+		_, err := peekByte(fd)
+		unread = !errors.Is(err, syscall.EAGAIN)
+	})
+	return unread
+}
+
+// controlFD calls f with the descriptor of a connection; it does not if that is closed.
+func controlFD(conn syscall.Conn, f func(fd uintptr)) {
 	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0
+	if err == nil {
+		_ = raw.Control(f) // fails if the connection is closed
 	}
-	unacked := int64(0)
-	if err := raw.Control(func(fd uintptr) { unacked = unackedBytes(fd) }); err != nil {
+}
+
+// sinceLastReceive returns the time since a socket received data, 0 if it is not known.
+func sinceLastReceive(fd uintptr) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
 		return 0
 	}
-	return unacked
+	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
 
 // unackedBytes returns the number of unacknowledged bytes of a socket, 0 if it is not known.
@@ -244,12 +273,7 @@
 // read or not, or 0 if the system does not report it.
 func (c *Conn) SinceLastReceive() time.Duration {
 	elapsed := time.Duration(0)
-	err := c.withFD(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			elapsed = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	if err != nil {
+	if err := c.withFD(func(fd uintptr) { elapsed = sinceLastReceive(fd) }); err != nil {
 		return 0
 	}
 	return elapsed
