Let silent connections make room on the Raft address

Cause: a slot was freed by its own connection's time alone, as on the Flight front.

Change: where all slots are held, the connection that has been silent for the longest is closed. The limiter of the fronts leaves each front a slot, whatever the descriptors: each holds one for the connection that it accepts next.

Evidence: TestSilentConnectionsDoNotLockOutPeers timed out on the code before, and passed 5 times under -race.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -59,11 +59,13 @@
 	return &Limiter{limit: max(1, limit), freed: make(chan struct{}, 1)}
 }
 
-// Register adds a front whose connections may be evicted.
+// Register adds a front whose connections may be evicted. The limit is at least the number of
+// fronts, as each of them holds a slot for the connection that it accepts next.
 func (l *Limiter) Register(e Evictor) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.evictors = append(l.evictors, e)
+	l.limit = max(l.limit, len(l.evictors))
 }
 
 // Acquire waits for a slot; it returns false once stop is closed. If all slots are in use it
@@ -118,10 +120,10 @@
 	l.notify()
 }
 
-// SetLimit changes the limit; the minimum is 1.
+// SetLimit changes the limit; the minimum is 1, or the number of fronts.
 func (l *Limiter) SetLimit(limit int) {
 	l.mu.Lock()
-	l.limit = max(1, limit)
+	l.limit = max(1, len(l.evictors), limit)
 	l.mu.Unlock()
 	l.notify()
 }
--- a/store/peer_status.go
+++ b/store/peer_status.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,10 +85,13 @@
 	net.Listener
 	status func(peerRequest) (peerStatus, error)
 	conns  chan net.Conn // for Raft
-	slots  chan struct{} // held by connections whose first byte is awaited
+	slots  chan struct{} // held by connections until Raft has them
 	closed chan struct{}
 	once   sync.Once
 	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	silent []net.Conn // those whose first byte is awaited, the oldest first
 }
 
 // newStatusListener starts to accept connections; Close ends that.
@@ -102,13 +106,12 @@
 // acceptAll accepts connections until the listener is closed.
 func (s *statusListener) acceptAll() {
 	for {
-		select {
-		case s.slots <- struct{}{}:
-		case <-s.closed:
+		if !s.acquireSlot() {
 			return
 		}
 		conn, err := s.Listener.Accept()
 		if err == nil {
+			s.addSilent(conn)
 			s.wg.Go(func() { s.sort(conn) })
 			continue
 		}
@@ -124,6 +127,47 @@
 	}
 }
 
+// acquireSlot waits for a slot; it returns false once the listener is closed. If all slots are held,
+// the connection that has been silent for the longest makes room: it would keep out those that
+// speak.
+func (s *statusListener) acquireSlot() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	s.closeOldestSilent()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
+
+// addSilent adds a connection whose first byte is awaited.
+func (s *statusListener) addSilent(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = append(s.silent, conn)
+}
+
+// removeSilent removes a connection whose first byte is not awaited any more.
+func (s *statusListener) removeSilent(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = slices.DeleteFunc(s.silent, func(other net.Conn) bool { return other == conn })
+}
+
+// closeOldestSilent closes the connection that has been silent for the longest, if there is one.
+func (s *statusListener) closeOldestSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.silent) > 0 {
+		_ = s.silent[0].Close() // its reader ends and removes it
+	}
+}
+
 // sort reads a connection's first byte and answers or delivers it.
 func (s *statusListener) sort(conn net.Conn) {
 	defer func() { <-s.slots }()
@@ -139,6 +183,7 @@
 	reader := bufio.NewReader(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(firstByteTimeout)) // fails if the connection is closed; then Peek fails too
 	first, err := reader.Peek(1)
+	s.removeSilent(conn)
 	switch {
 	case err != nil:
 		_ = conn.Close()
