Leave clients more than a third of the descriptors beside a long list of nodes

Cause: a long list took all but a quarter of the descriptors from the clients.

Change: clients keep three eighths. Nodes get the share of Flight nodes, but for a thirty-second, where the list has none: 136 connections for 132 nodes, not 144.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -69,30 +70,30 @@
 
 // Daemon is a running broker.
 type Daemon struct {
-	cfg                           *config.Config
-	log                           zerolog.Logger
-	loop                          *netio.Loop // the sockets of the HTTP front and of the frame nodes
-	core                          *broker.Core
-	frameNodes                    *nodeclient.Client
-	flightNodes                   *flightnode.Client
-	httpFront                     *httpfront.Front
-	flightFront                   *flightfront.Front // nil: off
-	store                         *store.Store       // nil: off
-	tracer                        *tracing.Tracer    // nil: off
-	logLevel                      *levelSampler
-	handOverWindow                atomic.Int64          // nanoseconds; new connections are accepted this long after Stop is called
-	takeoverServer                *takeover.Server      // serves a successor process; nil: not started yet, not possible, or closed; siblings.mu guards it
-	predecessor                   *takeover.Predecessor // the process that this one replaces; nil: none
-	clientConns                   *connlimit.Limiter    // of both fronts
-	maxClientConns, maxFrameConns int                   // connections, and so descriptors, when no sibling process runs
-	siblings                      siblingProcesses
-	admin                         *admin.Server // nil: off
-	reloadCounts                  reloadCounters
-	roster                        *rosterForwarder
-	listKnown                     chan struct{}      // closed once a list with nodes has arrived
-	stopListWait                  context.CancelFunc // ends the wait for the first list
-	stopCore                      context.CancelFunc
-	wg                            sync.WaitGroup
+	cfg            *config.Config
+	log            zerolog.Logger
+	loop           *netio.Loop // the sockets of the HTTP front and of the frame nodes
+	core           *broker.Core
+	frameNodes     *nodeclient.Client
+	flightNodes    *flightnode.Client
+	httpFront      *httpfront.Front
+	flightFront    *flightfront.Front // nil: off
+	store          *store.Store       // nil: off
+	tracer         *tracing.Tracer    // nil: off
+	logLevel       *levelSampler
+	handOverWindow atomic.Int64          // nanoseconds; new connections are accepted this long after Stop is called
+	takeoverServer *takeover.Server      // serves a successor process; nil: not started yet, not possible, or closed; siblings.mu guards it
+	predecessor    *takeover.Predecessor // the process that this one replaces; nil: none
+	clientConns    *connlimit.Limiter    // of both fronts
+	connLimits     connLimits            // when no sibling process runs
+	siblings       siblingProcesses
+	admin          *admin.Server // nil: off
+	reloadCounts   reloadCounters
+	roster         *rosterForwarder
+	listKnown      chan struct{}      // closed once a list with nodes has arrived
+	stopListWait   context.CancelFunc // ends the wait for the first list
+	stopCore       context.CancelFunc
+	wg             sync.WaitGroup
 
 	mu       sync.Mutex    // guards cfg and the fields below
 	stopping bool          // Stop has drained the fronts; no reload is applied any more
@@ -122,23 +123,39 @@
 	debug.SetGCPercent(400) // the live heap is small compared to the limit, so rarer collections fit into it
 }
 
-// splitSockets divides the descriptors and returns the limits of connections to clients, over both
-// fronts, and to nodes that use the frame protocol. Not included are an eighth for nodes that use
-// Flight, and a sixteenth for discovery, the log and the duplicates of connections that are being
-// attached to the loop. A long cached list of nodes takes what it needs from the clients' share;
-// nil is no list.
-func splitSockets(sockets int, cached *discovery.List) (clients, frames int) {
+// connLimits are the limits of connections when no sibling process runs.
+type connLimits struct {
+	clients     int // over both fronts
+	frameNodes  int // to nodes that use the frame protocol
+	flightNodes int
+}
+
+// splitSockets divides the descriptors. Not included is a sixteenth for discovery, the log and the
+// duplicates of connections that are being attached to the loop. A long cached list of nodes takes
+// what it needs, first from the share of Flight nodes if it has none of these, then from the
+// clients' share; nil is no list. Clients keep three eighths: they may hold a third of all
+// descriptors with requests, and some more are being opened or closed.
+func splitSockets(sockets int, cached *discovery.List) connLimits {
 	if sockets < smallSocketLimit { // the process's own descriptors, about twelve, are a significant share here
 		sockets = max(4, sockets-reservedDescriptors)
 	}
-	clients, frames = sockets/2, sockets*5/16
+	limits := connLimits{clients: sockets / 2, frameNodes: sockets * 5 / 16, flightNodes: sockets / 8}
 	if cached != nil {
-		surplus := max(0, clients-sockets/4) // clients keep a quarter
 		wanted := len(cached.Nodes) + len(cached.Nodes)/8
-		extra := max(0, min(surplus, wanted-frames))
-		clients, frames = clients-extra, frames+extra
+		if !slices.ContainsFunc(cached.Nodes, usesFlight) {
+			moveConns(&limits.flightNodes, &limits.frameNodes, sockets/32, wanted)
+		}
+		moveConns(&limits.clients, &limits.frameNodes, sockets*3/8, wanted)
 	}
-	return max(1, clients), max(1, frames)
+	limits.clients, limits.frameNodes, limits.flightNodes = max(1, limits.clients), max(1, limits.frameNodes), max(1, limits.flightNodes)
+	return limits
+}
+
+// moveConns moves connections from one limit to another that is below what is wanted. The first
+// keeps a minimum.
+func moveConns(from, to *int, keep, wanted int) {
+	moved := max(0, min(*from-keep, wanted-*to))
+	*from, *to = *from-moved, *to+moved
 }
 
 // coreSink is the broker.ResultSink of the node clients. It resolves the circular dependency
@@ -170,8 +187,8 @@
 	sampler := &levelSampler{}
 	sampler.set(cfg.LogLevel)
 	log = log.Sample(sampler)
-	clientConns, frameConns := splitSockets(sockets, cfg.Known)
-	d := &Daemon{cfg: cfg, log: log, loop: loop, logLevel: sampler, listKnown: make(chan struct{}), clientConns: connlimit.New(clientConns), maxClientConns: clientConns, maxFrameConns: frameConns}
+	conns := splitSockets(sockets, cfg.Known)
+	d := &Daemon{cfg: cfg, log: log, loop: loop, logLevel: sampler, listKnown: make(chan struct{}), clientConns: connlimit.New(conns.clients), connLimits: conns}
 	d.limits.MaxOpen = cfg.Settings.MaxOpen
 	d.handOverWindow.Store(int64(cfg.HandOverWindow))
 	sink := &coreSink{}
@@ -189,11 +206,11 @@
 	dialer := netio.NewDialer()
 	d.frameNodes = nodeclient.New(nodeclient.Options{
 		Loop: loop, Dialer: dialer, Sink: sink, StreamsPerConn: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
-		ServerIdleTimeout: cfg.ServerIdleTimeout, MaxConns: frameConns, Observer: wireObserver,
+		ServerIdleTimeout: cfg.ServerIdleTimeout, MaxConns: conns.frameNodes, Observer: wireObserver,
 		ProbesSupported: cfg.Settings.AllowProbes, DisableCancel: !cfg.Settings.AllowCancel, Log: log,
 	})
 	d.flightNodes = flightnode.New(flightnode.Options{
-		Sink: sink, Dialer: dialer, ConnectTimeout: cfg.ConnectTimeout, ServerIdleTimeout: cfg.ServerIdleTimeout, MaxConns: sockets / 8, Observer: wireObserver, Log: log,
+		Sink: sink, Dialer: dialer, ConnectTimeout: cfg.ConnectTimeout, ServerIdleTimeout: cfg.ServerIdleTimeout, MaxConns: conns.flightNodes, Observer: wireObserver, Log: log,
 	})
 	d.core = broker.New(broker.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Log: log,
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -22,13 +22,18 @@
 	log                       zerolog.Logger
 }
 
+// usesFlight reports whether parts are sent to a node over Flight.
+func usesFlight(n broker.Node) bool {
+	return strings.HasPrefix(n.Addr, "grpc+") // grpc+tcp:, grpc+unix:
+}
+
 // Update implements broker.NodeClient.
 func (r *router) Update(nodes []broker.Node) {
 	nodes = r.resolveAddressClaims(nodes)
 	clientByNode := make(map[string]broker.NodeClient, len(nodes))
 	var frameNodes, flightNodes []broker.Node
 	for _, n := range nodes {
-		if strings.HasPrefix(n.Addr, "grpc+") { // grpc+tcp:, grpc+unix:
+		if usesFlight(n) {
 			clientByNode[n.ID], flightNodes = r.flightClient, append(flightNodes, n)
 		} else {
 			clientByNode[n.ID], frameNodes = r.frameClient, append(frameNodes, n)
--- a/daemon/takeover.go
+++ b/daemon/takeover.go
@@ -55,7 +55,7 @@
 	change(siblings)
 	processCount := siblings.processCount()
 	siblingRunning := processCount > 1
-	clientConns, frameConns := d.maxClientConns, d.maxFrameConns
+	clientConns, frameConns := d.connLimits.clients, d.connLimits.frameNodes
 	if siblingRunning {
 		clientConns, frameConns = max(1, clientConns/2), max(1, frameConns/2)
 	}
