Keep what each broker of a group was told of the list over a restart

Cause: only the leader's list was kept, by a version that differed; a start took its file's list before any other.

Change: each broker with a store saves its own list; a start begins with the newest of its own, the group's and the file's; an older list replaces none, unless discovery was seen to count anew.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -225,18 +225,7 @@
 			return nil, err
 		}
 	}
-	// An empty cached list is ignored. Passed on, it would make every node of the first
-	// real list appear as newly added; the decision module would put them all into slow
-	// start, and a broker without traffic so far would refuse all queries for that time.
-	var cachedVersion *int64
-	if cfg.Known != nil && len(cfg.Known.Nodes) > 0 {
-		cachedVersion = &cfg.Known.Version
-		d.roster.forward(broker.Roster{Kind: decide.ListCached, Version: cfg.Known.Version, Nodes: cfg.Known.Nodes})
-	} else if d.store != nil { // the last list that the group stored, possibly outdated
-		if stored := d.store.State().Roster; len(stored.Nodes) > 0 {
-			d.roster.forward(broker.Roster{Kind: decide.ListCached, Version: stored.Version, Nodes: stored.Nodes})
-		}
-	}
+	cachedVersion := d.useCachedList()
 	var coreCtx, listCtx context.Context
 	coreCtx, d.stopCore = context.WithCancel(context.Background())
 	listCtx, d.stopListWait = context.WithCancel(context.Background())
@@ -296,6 +285,31 @@
 	return d, nil
 }
 
+// useCachedList begins with the newest list that is at hand: that of the configuration, the last one
+// that this broker had recorded, or the last one that the group has stored. It returns the version
+// to ask discovery for changes from, nil if the whole list must be asked for.
+//
+// An empty list is ignored. Passed on, it would make every node of the first real list appear as
+// newly added; the decision module would put them all into slow start, and a broker without traffic
+// so far would refuse all queries for that time.
+func (d *Daemon) useCachedList() (version *int64) {
+	var newest store.Roster
+	if known := d.cfg.Known; known != nil && len(known.Nodes) > 0 {
+		newest, version = store.Roster{Version: known.Version, Nodes: known.Nodes}, &known.Version
+	}
+	if d.store != nil {
+		for _, candidate := range []store.Roster{d.store.ToldRoster(), d.store.State().Roster} {
+			if len(candidate.Nodes) > 0 && candidate.Newer(&newest) {
+				newest, version = candidate, nil
+			}
+		}
+	}
+	if len(newest.Nodes) > 0 {
+		d.roster.forward(broker.Roster{Kind: decide.ListCached, Version: newest.Version, Nodes: newest.Nodes})
+	}
+	return version
+}
+
 // logIgnoredFields logs the warnings of a configuration: the parts that this broker ignores.
 func (d *Daemon) logIgnoredFields(cfg *config.Config) {
 	for _, warning := range cfg.Warnings {
--- a/store/state.go
+++ b/store/state.go
@@ -86,10 +86,23 @@
 	}
 }
 
-// Roster is the latest list of nodes that the leader's broker has recorded.
+// Roster is a list of nodes that a broker has recorded.
 type Roster struct {
-	Version int64         `json:"version"`
+	Version int64         `json:"version"` // the bits of discovery's unsigned number
 	Nodes   []broker.Node `json:"nodes"`
+	// Restarted says that discovery's versions began anew since the list that the broker had
+	// recorded before.
+	Restarted bool `json:"restarted,omitempty"`
+}
+
+// Newer reports whether r is newer than another list.
+func (r *Roster) Newer(other *Roster) bool {
+	return len(other.Nodes) == 0 || uint64(r.Version) > uint64(other.Version)
+}
+
+// replaces reports whether r may take the place of another list in the replicated state.
+func (r *Roster) replaces(other *Roster) bool {
+	return r.Newer(other) || r.Restarted && r.Version != other.Version
 }
 
 // State is the replicated state of the store.
@@ -104,6 +117,14 @@
 	Roster *Roster `json:"roster,omitempty"`
 }
 
+// appliedState is a state and the index of the log entry after which it holds. Each instance saves
+// the latest that it has applied: Raft does not keep how far that was, and applies the log again
+// after a restart only once a leader tells how much of it is committed.
+type appliedState struct {
+	Index uint64 `json:"index"` // 0: that of a snapshot which did not record it, or of no entry
+	State
+}
+
 // stateMachine is the state machine to which Raft applies the log. After a restart Raft applies
 // again what this instance had applied before: until that is done, the state that it had then is
 // the one that is published, so that the configuration never goes back.
@@ -194,7 +215,7 @@
 			return fmt.Errorf("%w: %d, not %d", ErrConflict, s.Config.Version, *v)
 		}
 		s.Config = c.Patch.apply(s.Config)
-	case c.Roster != nil:
+	case c.Roster != nil && c.Roster.replaces(&s.Roster): // a new leader may propose before it has applied all entries
 		s.Roster = *c.Roster
 	}
 	m.setApplied(appliedState{Index: l.Index, State: s})
--- a/store/store.go
+++ b/store/store.go
@@ -95,8 +95,7 @@
 
 	diskErrorLoggedAt time.Time // used by maintain alone
 
-	mu            sync.Mutex
-	latestRoster  *Roster // the latest roster of this instance's broker; nil: none yet
+	told          *toldRoster
 	rosterChanged chan struct{}
 }
 
@@ -105,7 +104,7 @@
 	if o.OnChange == nil {
 		o.OnChange = func(State) {}
 	}
-	file := newAppliedFile(o.Dir)
+	file := &jsonFile[appliedState]{filepath.Join(o.Dir, "applied.json"), "applied state"}
 	s := &Store{
 		opts: o, stateMachine: &stateMachine{save: file.save, onChange: o.OnChange},
 		stop: make(chan struct{}), rosterChanged: make(chan struct{}, 1),
@@ -116,15 +115,16 @@
 	if err := s.open(); err != nil {
 		return nil, errors.Join(fmt.Errorf("opening the store: %w", err), s.closeResources())
 	}
-	s.wg.Add(1)
-	go s.maintain()
+	s.told = openToldRoster(o.Dir, o.Log)
+	s.wg.Go(s.maintain)
+	s.wg.Go(func() { s.told.keepSaved(s.stop) })
 	return s, nil
 }
 
 // restoreApplied publishes the state that this instance had applied when it was last running. Raft
 // applies its log again on top of the defaults.
-func (s *Store) restoreApplied(file *appliedFile) error {
-	saved, err := file.load()
+func (s *Store) restoreApplied(file *jsonFile[appliedState]) error {
+	saved, err := file.load(appliedState{State: State{Config: Defaults()}})
 	if err != nil {
 		return err
 	}
@@ -269,13 +269,15 @@
 	}
 }
 
-// RecordRoster sets the current roster of this instance's broker and does not block. While this
-// instance is the leader, the latest roster is written to the store if its version differs from
-// the stored one, once per rosterWriteInterval at most.
+// ToldRoster returns the list that this instance's broker had recorded last when it was last
+// running; one without nodes if there is none.
+func (s *Store) ToldRoster() Roster { return s.told.restored }
+
+// RecordRoster sets the current roster of this instance's broker and does not block. It is saved on
+// this instance's disk. While this instance is the leader, the latest roster is also written to the
+// store if it is newer than the stored one, once per rosterWriteInterval at most.
 func (s *Store) RecordRoster(r Roster) {
-	s.mu.Lock()
-	s.latestRoster = &r
-	s.mu.Unlock()
+	s.told.record(r)
 	select {
 	case s.rosterChanged <- struct{}{}:
 	default:
@@ -285,7 +287,6 @@
 // maintain proposes the latest roster while this instance is the leader, and saves an applied state
 // that the disk did not take, until the store closes.
 func (s *Store) maintain() {
-	defer s.wg.Done()
 	tick := time.NewTicker(rosterWriteInterval)
 	defer tick.Stop()
 	for {
@@ -298,14 +299,14 @@
 		if err := s.stateMachine.saveIfUnsaved(); err != nil {
 			s.logDiskError(err)
 		}
-		s.mu.Lock()
-		r := s.latestRoster
-		s.mu.Unlock()
-		if r == nil || s.raft.State() != raft.Leader || s.State().Roster.Version == r.Version {
+		r, stored := s.told.latest(), s.State().Roster
+		if r == nil || s.raft.State() != raft.Leader || !r.replaces(&stored) {
 			continue
 		}
 		if _, err := s.propose(command{Roster: r}); err != nil {
 			s.opts.Log.Warn().Str("event", "store-roster").Err(err).Msg("failed to store the roster")
+		} else {
+			s.told.markStored(r)
 		}
 		select {
 		case <-s.stop:
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -222,6 +223,55 @@
 	})
 }
 
+// The stored list must never be replaced by an older one, unless discovery began to count anew.
+func TestOlderListDoesNotReplaceTheStoredOne(t *testing.T) {
+	g := newGroup(t)
+	leader := g.stores[g.leader()]
+	roster := func(version int64) store.Roster {
+		return store.Roster{Version: version, Nodes: []broker.Node{{ID: fmt.Sprintf("s-%d", version), Addr: "127.0.0.1:1"}}}
+	}
+	isStored := func(version int64) func() bool {
+		return func() bool { return leader.State().Roster.Version == version }
+	}
+	leader.RecordRoster(roster(7))
+	testkit.Eventually(t, "the list is stored", isStored(7))
+	next := g.stores[(g.leader()+1)%len(g.stores)]
+	next.RecordRoster(roster(5)) // it was told less, and leads from now on
+	g.stop(g.leader())
+	if g.stores[g.leader()] != next { // the third one leads: it must not have a list at all
+		next = g.stores[g.leader()]
+		next.RecordRoster(roster(5))
+	}
+	if _, err := next.SetConfig(store.Patch{MaxOpen: new(int)}); err != nil { // behind anything that it would have proposed
+		t.Fatal(err)
+	}
+	leader = next
+	time.Sleep(2 * time.Second) // two intervals of the writes of lists
+	if v := leader.State().Roster.Version; v != 7 {
+		t.Errorf("the new leader stored version %d, want 7 to stand", v)
+	}
+	leader.RecordRoster(roster(8))
+	testkit.Eventually(t, "a newer list is stored", isStored(8))
+	leader.RecordRoster(roster(2)) // after 8: discovery counts anew
+	testkit.Eventually(t, "the list of the restarted discovery is stored", isStored(2))
+}
+
+// An instance must keep the list that its own broker had recorded over a restart, whoever leads.
+func TestOwnListSurvivesARestart(t *testing.T) {
+	g := newGroup(t)
+	follower := (g.leader() + 1) % len(g.stores)
+	g.stores[follower].RecordRoster(store.Roster{Version: 9, Nodes: []broker.Node{{ID: "s-9", Addr: "127.0.0.1:1"}}})
+	testkit.Eventually(t, "the list is on disk", func() bool {
+		_, err := os.Stat(filepath.Join(g.dirs[follower], "told.json"))
+		return err == nil
+	})
+	g.stop(follower)
+	g.start(follower, nil)
+	if r := g.stores[follower].ToldRoster(); r.Version != 9 || len(r.Nodes) != 1 {
+		t.Errorf("got %+v after the restart, want version 9 with one node", r)
+	}
+}
+
 // The leader writes a change to its disk and loses its followers before it can replicate it.
 // Whether the change takes effect is then unknown, as the next leader may or may not have it.
 // Guards against reporting this as "not the leader", which is only for an instance that never
