Fail queries of a class with a second step instead of marking its first step whole

Cause: config.parseSettings set the second step to 0 with a warning, and nothing after it knew that the class had one.

Change: the class keeps that it has a second step; both fronts answer its queries at once, with 501 or UNIMPLEMENTED, and no part of them is sent.

--- a/config/config.go
+++ b/config/config.go
@@ -59,6 +59,9 @@
 type Class struct {
 	Name  string
 	Keyed bool
+	// SecondStep is set for a class whose queries need a second step, which this broker does not
+	// make: its queries cannot be answered.
+	SecondStep bool
 	// Retired is set when a reload has removed the class or changed its settings, which gives
 	// the class a new index: new queries cannot use this one.
 	Retired  bool
@@ -391,8 +394,9 @@
 	// commas, but the list of nodes and the clients use the names as written here.
 	c.Zones, c.Kinds = stringList(tree["zones"]), stringList(tree["kinds"])
 	for i := range s.Classes {
-		if s.Classes[i].SecondStepParts > 0 { // the clients' protocols cannot express a second step: the first answer is the final one
-			c.Warnings = append(c.Warnings, FieldError{"settings.domain.classFetch", errors.New("second steps are not supported by this protocol, ignored")})
+		secondStep := s.Classes[i].SecondStepParts > 0
+		if secondStep {
+			c.Warnings = append(c.Warnings, FieldError{"settings.domain.classFetch", errors.New("second steps are not supported, queries of the class fail")})
 			s.Classes[i].SecondStepParts = 0
 		}
 		name := ""
@@ -404,7 +408,7 @@
 		if name == "" {
 			return fieldErrorf(fmt.Sprintf("settings.classes[%d].name", i), "missing")
 		}
-		c.Classes = append(c.Classes, newClass(name, s.Classes[i]))
+		c.Classes = append(c.Classes, newClass(name, s.Classes[i], secondStep))
 	}
 	if len(c.Classes) == 0 {
 		return fieldErrorf("settings.classes", "missing")
--- a/config/reload.go
+++ b/config/reload.go
@@ -145,7 +145,9 @@
 	}
 	for i, class := range c.Classes {
 		ownSettings := c.Settings.Classes[i]
-		index := slices.IndexFunc(classes, func(known Class) bool { return known.Name == class.Name && known.settings == ownSettings })
+		index := slices.IndexFunc(classes, func(known Class) bool {
+			return known.Name == class.Name && known.settings == ownSettings && known.SecondStep == class.SecondStep
+		})
 		if index < 0 {
 			index = len(classes)
 			classes, settings = append(classes, class), append(settings, ownSettings)
@@ -159,7 +161,8 @@
 	return nil
 }
 
-// newClass returns a class with the given name and settings.
-func newClass(name string, settings decide.Class) Class {
-	return Class{Name: name, Keyed: settings.Effect == decide.Keyed, settings: settings}
+// newClass returns a class with the given name and settings. secondStep says that its queries need a
+// second step.
+func newClass(name string, settings decide.Class, secondStep bool) Class {
+	return Class{Name: name, Keyed: settings.Effect == decide.Keyed, SecondStep: secondStep, settings: settings}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -428,7 +428,7 @@
 		if c.Retired {
 			continue
 		}
-		m[c.Name] = query.Class{Name: c.Name, Index: i, Keyed: c.Keyed, DeadlineMs: cfg.Settings.Classes[i].DeadlineMs}
+		m[c.Name] = query.Class{Name: c.Name, Index: i, Keyed: c.Keyed, DeadlineMs: cfg.Settings.Classes[i].DeadlineMs, SecondStep: c.SecondStep}
 	}
 	return m
 }
--- a/flightfront/front.go
+++ b/flightfront/front.go
@@ -174,6 +174,9 @@
 	if !ok {
 		return nil, status.Errorf(codes.NotFound, "class: no class %q", request.Class)
 	}
+	if class.SecondStep {
+		return nil, status.Error(codes.Unimplemented, query.ErrSecondStep.Error())
+	}
 	q := &broker.Query{RequestID: request.ID, Class: class.Index, Retry: request.Retry, ArrivedAt: receivedAt}
 	if f.opts.Trace {
 		if headers, ok := metadata.FromIncomingContext(ctx); ok {
--- a/flightfront/front_test.go
+++ b/flightfront/front_test.go
@@ -68,7 +68,7 @@
 	core := &fakeCore{}
 	f, err := Listen("127.0.0.1:0", Options{
 		Core: core, Conns: connlimit.New(4), Shards: 18, Log: zerolog.New(io.Discard),
-		Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}, "edit": {Name: "edit", Index: 1, Keyed: true}},
+		Classes: map[string]query.Class{"screen": {Name: "screen", DeadlineMs: 4000}, "edit": {Name: "edit", Index: 1, Keyed: true}, "report": {Name: "report", SecondStep: true}},
 		Actions: []Action{{Name: "echo", Description: "returns its argument", Run: func(_ context.Context, b []byte) ([]byte, error) {
 			if len(b) == 0 {
 				return nil, status.Error(codes.InvalidArgument, "empty argument")
@@ -120,6 +120,7 @@
 		{name: "expired", ticket: validTicket, reply: broker.Reply{Verdict: broker.Expired}, code: codes.DeadlineExceeded},
 		{name: "malformed JSON", ticket: "{", code: codes.InvalidArgument},
 		{name: "unknown class", ticket: `{"id":"a","class":"x"}`, code: codes.NotFound},
+		{name: "class with a second step", ticket: `{"id":"a","class":"report"}`, code: codes.Unimplemented},
 		{name: "missing key", ticket: `{"id":"a","class":"edit","targets":[{"partition":3,"share":1}],"query":"x"}`, code: codes.InvalidArgument},
 		{name: "missing targets", ticket: `{"id":"a","class":"screen","query":"x"}`, code: codes.InvalidArgument},
 	} {
--- a/httpfront/codec.go
+++ b/httpfront/codec.go
@@ -56,6 +56,9 @@
 	if m.Method != http.MethodPost {
 		return nil, &requestError{http.StatusMethodNotAllowed, "a query is a POST"}
 	}
+	if class.SecondStep {
+		return nil, &requestError{http.StatusNotImplemented, query.ErrSecondStep.Error()}
+	}
 	for _, header := range []string{"x-class", "x-request-id", "x-deadline-ms", "idempotency-key"} {
 		if m.Count(header) > 1 { // it would be ambiguous which value applies
 			return nil, badRequest("%s: stands %d times", header, m.Count(header))
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -89,7 +89,7 @@
 	core := &fakeCore{queries: map[broker.QueryID]*broker.Query{}, repliers: map[broker.QueryID]broker.Replier{}}
 	f := serve(wrap(l.(*net.TCPListener)), Options{
 		Core: core, Loop: loop, Conns: connlimit.New(8), Shards: 18, Log: zerolog.New(io.Discard),
-		Classes: map[string]query.Class{"screen": {Name: "screen"}, "edit": {Name: "edit", Index: 1, Keyed: true}},
+		Classes: map[string]query.Class{"screen": {Name: "screen"}, "edit": {Name: "edit", Index: 1, Keyed: true}, "report": {Name: "report", SecondStep: true}},
 	})
 	f.SetReady(true)
 	t.Cleanup(func() {
@@ -162,6 +162,7 @@
 		{"ready", "GET /ready HTTP/1.1\r\n\r\n", 200, false},
 		{"POST to ready", "POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405, false},
 		{"unknown class", postRequest("/nothing", queryHeaders, validBody), 404, false},
+		{"class with a second step", postRequest("/report", queryHeaders, validBody), 501, false},
 		{"GET of a query", "GET /screen HTTP/1.1\r\n\r\n", 405, false},
 		{"repeated X-Class", postRequest("/screen", queryHeaders+"X-Class: screen\r\n", validBody), 400, false},
 		{"X-Class differs from the path", strings.Replace(postRequest("/screen", queryHeaders, validBody), "X-Class: screen", "X-Class: edit", 1), 400, false},
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -26,8 +26,13 @@
 	Index      int     // position in the settings' list of classes
 	Keyed      bool    // queries must carry an idempotency key
 	DeadlineMs float64 // time after which the class's clients give up
+	SecondStep bool    // queries need a second step, so they fail with ErrSecondStep
 }
 
+// ErrSecondStep is the error of a query that needs a second step. The values of its first step alone
+// are not its answer.
+var ErrSecondStep = errors.New("the class needs a second step, which this broker does not make")
+
 // target is one target in the JSON body. Pointers tell missing fields from zero values.
 type target struct {
 	Partition *int     `json:"partition"`
