End a Flight connection only where its client can be told

Cause: found by reading. Where the socket took no GOAWAY, our side was ended all the same, so the client of a call that crossed could not know that it was not taken.

What remains of a half written GOAWAY is ended as before. A goroutine without an owner is gone.

--- a/flightfront/client_conn.go
+++ b/flightfront/client_conn.go
@@ -341,15 +341,13 @@
 		}
 		return errors.Join(err, f.WriteGoAway(c.lastStream, http2.ErrCodeNo, nil))
 	})
-	if err == nil {
-		err = c.socket.CloseWrite()
+	if err != nil && !c.ended { // the client could not know which calls were taken
+		return false
 	}
 	c.ended = true
 	clear(c.open)
 	c.updateState()
-	if err != nil { // the client does not read, or has gone
-		go func() { _ = c.Close() }() // not here: it takes the front's lock
-	}
+	_ = c.socket.CloseWrite() // fails if the client has gone, which gRPC reads
 	return true
 }
 
--- a/flightfront/listener.go
+++ b/flightfront/listener.go
@@ -156,7 +156,8 @@
 	idleLimit := l.idleLimit()
 	for _, c := range l.openConns() {
 		switch {
-		case c.blockedFor(now) >= unreadResponseTimeout, c.age(stateHalfClosed, now) >= lingerTimeout:
+		case c.blockedFor(now) >= unreadResponseTimeout, c.age(stateHalfClosed, now) >= lingerTimeout,
+			c.age(stateIdle, now) >= idleLimit+unreadResponseTimeout: // the client reads nothing, so it cannot be told
 			_ = c.Close()
 		case c.age(stateSilent, now) >= handshakeTimeout:
 			c.endIfInState(stateSilent)
