Open the spool of traces once the process before has ended

Cause: the spool was locked by the first process when the second opened it, once, at its start.

Change: the writer tries again once a second and writes what memory has then.

--- a/tracing/reader.go
+++ b/tracing/reader.go
@@ -52,8 +52,9 @@
 func (t *Tracer) Read(filter record.Filter) (traces []*record.Trace, unreadable []spool.Unreadable, err error) {
 	t.mu.Lock()
 	recent := append([]*record.Trace(nil), t.recent.traces...)
+	hasSpool := t.spool != nil
 	t.mu.Unlock()
-	if t.spool != nil {
+	if hasSpool {
 		if traces, unreadable, err = spool.Read(t.opts.Config.Dir, filter.Match, filter.Limit); err != nil {
 			return nil, nil, err
 		}
--- a/tracing/tracer.go
+++ b/tracing/tracer.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,7 @@
 	maxFreeQueries = 64  // discarded queries pooled for reuse
 	followerBuffer = 256 // traces buffered for each follower
 	// spoolRetryInterval is how often queued spool writes are retried while no trace
-	// is held.
+	// is held, and how often a spool that could not be opened is tried again.
 	spoolRetryInterval = time.Second
 )
 
@@ -95,7 +96,7 @@
 	wake  chan struct{} // tells the writer goroutine that a trace is held or a late outcome unwritten
 	done  sync.WaitGroup
 
-	spool      *spool.Spool     // used by the writer goroutine only; nil without a spool
+	spool      *spool.Spool     // used by the writer goroutine only; nil without a spool; set under mu
 	spoolQueue writeQueue       // used by the writer goroutine only
 	exporter   *export.Exporter // nil if no export is configured
 
@@ -143,7 +144,9 @@
 	if cfg.Dir != "" { // the spool queue and the recent traces share one memory budget
 		tracer.recent.maxBytes /= 2
 		tracer.spoolQueue.maxBytes = tracer.recent.maxBytes
-		tracer.openSpool()
+		if err := tracer.openSpool(); err != nil {
+			opts.Log.Warn().Str("event", "trace-spool").Str("dir", cfg.Dir).Err(err).Msg("the spool cannot be opened; traces are kept in memory only until it can")
+		}
 	}
 	if cfg.OTLP != nil {
 		var err error
@@ -168,18 +171,20 @@
 
 // openSpool opens the spool directory and its table of open queries, and writes the
 // traces of the queries that a killed broker left there to the spool. t.spool or
-// t.table stays nil if it cannot be opened.
-func (t *Tracer) openSpool() {
+// t.table stays nil if it cannot be opened. The error is that of the spool, which another
+// process may hold: the one that this process replaces, until it ends.
+func (t *Tracer) openSpool() error {
 	cfg, log := t.opts.Config, t.opts.Log
 	opened, err := spool.Open(spool.Options{
 		Dir: cfg.Dir, Log: log, Now: t.now, Write: t.opts.Write,
 		Limits: spool.Limits{SegmentBytes: int64(cfg.SegmentKB) << 10, TotalBytes: int64(cfg.SpoolMB) << 20, MinBackoff: initialBackoff, MaxBackoff: maxBackoff},
 	})
 	if err != nil {
-		log.Warn().Str("event", "trace-spool").Str("dir", cfg.Dir).Err(err).Msg("the spool cannot be opened; traces are kept in memory only")
-		return
+		return err
 	}
+	t.mu.Lock()
 	t.spool = opened
+	t.mu.Unlock()
 	table, interrupted, unreadable, err := spool.OpenQueryTable(cfg.Dir, cfg.OpenQueries)
 	if err != nil {
 		log.Warn().Str("event", "trace-spool").Str("dir", cfg.Dir).Err(err).
@@ -201,12 +206,29 @@
 		if err := table.Commit(); err != nil {
 			log.Warn().Str("event", "trace-spool").Err(err).Msg("the table of open queries cannot be reset; queries that are open when the broker is killed may not be reported")
 		}
+		t.mu.Lock()
 		t.table = table
+		t.mu.Unlock()
 	}
 	if len(interrupted)+unreadable > 0 {
 		log.Warn().Str("event", "trace-interrupted").Int("queries", len(interrupted)).Int("unreadable", unreadable).Int("carried", carried).
 			Msg("the previous broker process ended with queries open; `gannetchute trace list --reason interrupted` shows them")
 	}
+	return nil
+}
+
+// retrySpool tries again to open the spool and, once that succeeds, writes the traces kept in memory
+// to it. It reports whether it did.
+func (t *Tracer) retrySpool() bool {
+	if t.openSpool() != nil {
+		return false
+	}
+	t.mu.Lock()
+	recent := slices.Clone(t.recent.traces)
+	t.mu.Unlock()
+	t.writeToSpool(recent, nil)
+	t.opts.Log.Info().Str("event", "trace-spool").Int("traces", len(recent)).Msg("the spool is open now; the traces in memory are written to it")
+	return true
 }
 
 // writeTrace writes a trace to the spool, without the write queue, and reports whether
@@ -246,16 +268,26 @@
 
 // runWriter is the writer goroutine. It collects the kept traces at the end of each of
 // the sampler's windows, and sleeps while no trace is held and nothing waits to be
-// written.
+// written. It also opens the spool if that was not possible at the start.
 func (t *Tracer) runWriter() {
 	defer t.done.Done()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	armed := false // the timer is set for the end of the window
+	armed := false              // the timer is set for the end of the window
+	var reopen <-chan time.Time // nil: the spool is open, or there is none
+	if t.opts.Config.Dir != "" && t.spool == nil {
+		ticker := time.NewTicker(spoolRetryInterval)
+		defer ticker.Stop()
+		reopen = ticker.C
+	}
 	for {
 		select {
 		case <-t.stop:
 			return
+		case <-reopen:
+			if t.retrySpool() {
+				reopen = nil
+			}
 		case <-t.wake:
 			if armed {
 				continue
--- a/tracing/tracer_test.go
+++ b/tracing/tracer_test.go
@@ -103,6 +103,45 @@
 	}
 }
 
+// Guards against traces that are lost with the process that replaced another: it found the spool
+// locked at its start and never tried again.
+func TestSpoolIsOpenedOnceThePreviousProcessHasEnded(t *testing.T) {
+	dir := t.TempDir()
+	previous, err := spool.Open(spool.Options{Dir: dir, Log: zerolog.New(io.Discard), Limits: spool.Limits{SegmentBytes: 1 << 16, TotalBytes: 1 << 20}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracer, err := Start(Options{Config: Config{Dir: dir}.WithDefaults(), Broker: "n1", Log: zerolog.New(io.Discard), Classes: []Class{{Name: "screen", Objective: time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tracer.Close(context.Background())
+	fail := func(id broker.QueryID, name string) {
+		now := time.Now()
+		tracer.QueryReceived(id, newQuery(name, now), now)
+		tracer.QueryEnded(id, &broker.Reply{Verdict: broker.Failed}, now)
+	}
+	kept := func(names ...string) func() bool {
+		return func() bool {
+			traces, _, err := ReadDir(dir, record.Filter{})
+			return err == nil && len(traces) == len(names) && !slices.ContainsFunc(names, func(name string) bool {
+				return !slices.ContainsFunc(traces, func(trace *record.Trace) bool { return trace.Query == name })
+			})
+		}
+	}
+	fail(1, "while-locked")
+	testkit.Eventually(t, "the trace is in memory", func() bool { return tracer.Counts().Recent == 1 })
+	if !kept()() {
+		t.Error("a trace was written to a spool that another process holds")
+	}
+	if err := previous.Close(); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "the trace in memory is on disk", kept("while-locked"))
+	fail(2, "later")
+	testkit.Eventually(t, "a later trace is on disk", kept("while-locked", "later"))
+}
+
 // Each bad query must get the reason that applies, and a good query none. A copy that
 // answers first, a client that leaves after the objective and a refusal before any
 // attempt make a query bad; a copy that loses and a client that leaves in time do not.
